--- /dev/null
+++ b/src/main/java/onyxpaddle/FlatSettings.java
@@ -0,0 +1,115 @@
+package onyxpaddle;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import onyxpaddle.Balancing.*;
+
+/**
+ * Reads the settings of an instance from flat paths, such as {@code limits.maxAttempts}: the form in which the
+ * simulator's wire states them and to which a real node's configuration is flattened, so that both say the same
+ * by the same reading. Paths it does not know are left alone.
+ */
+public final class FlatSettings {
+    private static final Map<String, Effect> EFFECTS = Map.of("read_like", Effect.SAFE,
+        "idempotency_key", Effect.KEYED, "non_idempotent", Effect.UNSAFE);
+    private static final Map<String, KeyGroup> GROUPS = Map.of("all", KeyGroup.ALL, "zone", KeyGroup.ZONE,
+        "cell", KeyGroup.CELL);
+    private static final Map<String, Weights> WEIGHTS = Map.of("off", Weights.NONE, "nominal", Weights.NOMINAL,
+        "rough", Weights.ROUGH, "live", Weights.LIVE);
+    private static final Map<String, LoadField> LOAD_FIELDS = Map.of("outstanding", LoadField.IN_FLIGHT,
+        "backlog", LoadField.QUEUE, "utilization", LoadField.UTILIZATION, "recent_ms", LoadField.LATENCY_MS,
+        "throughput", LoadField.PER_SECOND, "errors_per_s", LoadField.ERRORS_PER_SECOND);
+
+    private final Map<String, String> pairs;
+
+    public FlatSettings(Map<String, String> pairs) {
+        this.pairs = Map.copyOf(pairs);
+    }
+
+    /** A setting whose text cannot be read at all; a figure out of range is the record's own complaint. */
+    public static final class MalformedSettingException extends IllegalArgumentException {
+        private static final long serialVersionUID = 1L;
+
+        MalformedSettingException(String path, String wrong, String value) {
+            super("setting " + path + " " + wrong + ": " + value);
+        }
+    }
+
+    /** The settings that the module starts with. */
+    public Settings settings() {
+        List<RequestClass> classes = new ArrayList<>();
+        for (int i = 0; i < count("classes"); i++) {
+            String at = "classes." + i + ".";
+            classes.add(new RequestClass(text(at + "name", ""), word(at + "effect", EFFECTS, Effect.UNSAFE),
+                word(at + "group", GROUPS, KeyGroup.ALL), span(at + "memorySpanS"), span(at + "aimS"),
+                number(at + "aimStretch", 0), span(at + "deadlineS"), number(at + "worth", 1),
+                number(at + "lateWorth", 0), bool(at + "streamed", false)));
+        }
+        List<Tenant> tenants = new ArrayList<>();
+        for (int i = 0; i < count("customers"); i++) {
+            String at = "customers." + i + ".";
+            tenants.add(new Tenant(text(at + "name", ""), number(at + "quotaPerS", 0)));
+        }
+        List<LoadField> loadFields = new ArrayList<>();
+        for (String field : list("report.fields")) {
+            loadFields.add(LOAD_FIELDS.getOrDefault(field, LoadField.OTHER));
+        }
+        Limits limits = new Limits((int) number("limits.maxAttempts", 1), bool("limits.secondCopies", false),
+            bool("limits.cancel", false), bool("limits.probes", false), bool("limits.retryAfter", false),
+            span("limits.maxRetryAfterS"), span("limits.dialTimeoutS"));
+        Rules rules = new Rules(number("rules.startCapacity", 1), span("rules.coldS"),
+            number("rules.fallMultiple", 1), span("rules.overloadForS"), span("rules.drainGraceS"),
+            span("rules.graceToAnswerS"), span("rules.askEveryS"));
+        return new Settings(text("az", ""), list("areas"), (int) number("layer", 0),
+            (int) number("me", 0), (int) number("siblings", 1), classes, tenants, number("overShareWorth", 1),
+            text("valueBy", "request").equals("work"), text("membershipMode", "push").equals("ask"),
+            word("weights", WEIGHTS, Weights.NONE), loadFields, number("prices.crossZone", 0),
+            span("quantumS"), limits, rules);
+    }
+
+    private int count(String path) {
+        return (int) number(path + ".count", 0);
+    }
+
+    private List<String> list(String path) {
+        String value = text(path, "");
+        return value.isEmpty() ? List.of() : List.of(value.split(","));
+    }
+
+    private String text(String path, String otherwise) {
+        String value = pairs.get(path);
+        return value == null || value.equals("-") ? otherwise : value;
+    }
+
+    private double number(String path, double otherwise) {
+        String value = text(path, "");
+        try {
+            return value.isEmpty() ? otherwise : Double.parseDouble(value);
+        } catch (NumberFormatException e) {
+            throw new MalformedSettingException(path, "is not a number", value);
+        }
+    }
+
+    /** A span that the settings give in seconds, in nanoseconds; 0 where it is not given. */
+    public long span(String path) {
+        return Math.round(number(path, 0) * 1e9);
+    }
+
+    private boolean bool(String path, boolean otherwise) {
+        String value = text(path, "");
+        return value.isEmpty() ? otherwise : value.equals("true") || value.equals("1");
+    }
+
+    private <T> T word(String path, Map<String, T> words, T otherwise) {
+        String value = text(path, "");
+        if (value.isEmpty()) {
+            return otherwise;
+        }
+        T known = words.get(value);
+        if (known == null) {
+            throw new MalformedSettingException(path, "has an unknown word", value);
+        }
+        return known;
+    }
+}
--- /dev/null
+++ b/src/main/java/onyxpaddle/node/ClientConnection.java
@@ -0,0 +1,467 @@
+package onyxpaddle.node;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayDeque;
+import java.util.List;
+import onyxpaddle.Balancing.RequestClass;
+
+final class ClientConnection extends ChannelInboundHandlerAdapter {
+    private static final long SECOND = 1_000_000_000L;
+    private static final long LARGEST_BODY = 32L << 20;
+    private static final long LONGEST_HEAD = 3 * SECOND;
+    private static final long BODY_GRACE = 3 * SECOND;
+    private static final long SLOWEST_BODY_PER_SECOND = 32 * 1024;
+    private static final long LONGEST_IDLE = 60 * SECOND;
+    /** How long a client may leave an answer unread. */
+    private static final long LONGEST_UNREAD = 30 * SECOND;
+    private static final long LINGER = 2 * SECOND;
+    /** No caller waits longer than this; what claims so is cut to it. */
+    private static final long LONGEST_PATIENCE = 60 * SECOND;
+
+    private enum State {
+        /** Between requests. */
+        IDLE,
+        /** A request's head has come, its body not wholly. */
+        RECEIVING,
+        /** A request is taken and has no answer yet. */
+        WAITING,
+        /** An answer is passed on as it comes. */
+        STREAMING,
+        /** The answer is given, the rest of the request's body is read off. */
+        SKIPPING,
+        CLOSING
+    }
+
+    private final ClientServer all;
+    private final SocketChannel channel;
+    private final ArrayDeque<Object> ahead = new ArrayDeque<>();
+    private State state = State.IDLE;
+    private long since;
+    /** When the first byte of a head came that is not whole yet; 0 where there is none. */
+    private long headSince;
+    private long received;
+    private Exchange exchange;
+    private ServerConnection source;
+    private boolean keepAlive;
+    private HttpVersion version = HttpVersion.HTTP_1_1;
+    private long unreadSince;
+    private int unread;
+
+    ClientConnection(ClientServer all, SocketChannel channel) {
+        this.all = all;
+        this.channel = channel;
+        this.since = all.clock.now();
+    }
+
+    /** Notes bytes before they are parsed: a head that trickles in shows nowhere else. */
+    ChannelHandler byteWatch() {
+        return new ChannelInboundHandlerAdapter() {
+            @Override
+            public void channelRead(ChannelHandlerContext context, Object message) {
+                received += message instanceof ByteBuf bytes ? bytes.readableBytes() : 0;
+                if (state == State.IDLE && headSince == 0) {
+                    headSince = all.clock.now();
+                    all.idle(ClientConnection.this, false);
+                }
+                context.fireChannelRead(message);
+            }
+        };
+    }
+
+    void close() {
+        channel.close();
+    }
+
+    long idleFor(long now) {
+        return now - since;
+    }
+
+    private void enter(State next) {
+        state = next;
+        since = all.clock.now();
+        headSince = 0;
+        all.idle(this, next == State.IDLE);
+    }
+
+    // ---- requests ----
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        all.opened(this);
+        all.idle(this, true);
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        if (!ahead.isEmpty() || mustWait()) {
+            ahead.add(message);
+            channel.config().setAutoRead(false);
+        } else {
+            take(message);
+        }
+    }
+
+    private boolean mustWait() {
+        return state == State.WAITING || state == State.STREAMING || !channel.isWritable();
+    }
+
+    /** Goes on with what was sent ahead; a client that reads no answers gets no further ones. */
+    private void goOn() {
+        while (!ahead.isEmpty() && !mustWait()) {
+            take(ahead.poll());
+        }
+        if (ahead.isEmpty()) {
+            channel.config().setAutoRead(true);
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        if (!channel.isWritable()) {
+            return;
+        }
+        if (source != null) {
+            source.resume();
+        }
+        goOn();
+    }
+
+    private void take(Object message) {
+        try {
+            if (state == State.CLOSING) {
+                return;
+            }
+            if (message instanceof HttpRequest request) {
+                head(request);
+            }
+            if (message instanceof HttpContent content && state != State.CLOSING) {
+                if (content.decoderResult().isFailure()) {
+                    malformed(content.decoderResult().cause());
+                } else {
+                    content(content);
+                }
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void head(HttpRequest request) {
+        received = 0;
+        version = request.protocolVersion().majorVersion() == 1 ? request.protocolVersion() : HttpVersion.HTTP_1_1;
+        if (request.decoderResult().isFailure()) {
+            malformed(request.decoderResult().cause());
+            return;
+        }
+        keepAlive = HttpUtil.isKeepAlive(request);
+        enter(State.RECEIVING);
+        String path = path(request.uri());
+        if (path.equals("/ready") && request.method().equals(HttpMethod.GET)) {
+            answer(all.ready() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, 0);
+            return;
+        }
+        HttpResponseStatus wrong = begin(request, path);
+        if (wrong != null) {
+            answer(wrong, 0);
+        } else if (HttpUtil.is100ContinueExpected(request)) {
+            channel.writeAndFlush(new DefaultFullHttpResponse(version, HttpResponseStatus.CONTINUE,
+                Unpooled.EMPTY_BUFFER));
+        }
+    }
+
+    private HttpResponseStatus begin(HttpRequest request, String path) {
+        if (!request.method().equals(HttpMethod.GET) && !request.method().equals(HttpMethod.POST)) {
+            return HttpResponseStatus.METHOD_NOT_ALLOWED;
+        }
+        List<String> ids = request.headers().getAll(Headers.ID);
+        if (ids.size() != 1 || !ids.get(0).matches("[!-~]{1,64}")) {
+            return HttpResponseStatus.BAD_REQUEST;
+        }
+        String named = request.headers().get(Headers.REQUEST_CLASS);
+        RequestClass requestClass = all.requestClass(named != null ? named : firstPart(path));
+        if (requestClass == null) {
+            return HttpResponseStatus.NOT_FOUND;
+        }
+        long patience = patience(request.headers().get(Headers.EXPIRES_IN), requestClass);
+        if (patience < 0) {
+            return HttpResponseStatus.BAD_REQUEST;
+        }
+        long length = HttpUtil.isTransferEncodingChunked(request) ? -1 : HttpUtil.getContentLength(request, 0L);
+        if (length > LARGEST_BODY) {
+            return HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE;
+        }
+        if (all.crowded()) {
+            keepAlive = false;
+            return HttpResponseStatus.SERVICE_UNAVAILABLE;
+        }
+        exchange = new Exchange(ids.get(0), requestClass, request.method(), request.uri(), request.headers(),
+            patience, new Body(all.budget, length), this);
+        return null;
+    }
+
+    /** How long the caller waits; without its word as long as its class does; below 0 where it makes no sense. */
+    private static long patience(String seconds, RequestClass requestClass) {
+        if (seconds == null) {
+            return requestClass.deadline();
+        }
+        try {
+            double given = Double.parseDouble(seconds.trim());
+            return given >= 0 ? (long) Math.min(LONGEST_PATIENCE, given * SECOND) : -1;
+        } catch (NumberFormatException e) {
+            return -1;
+        }
+    }
+
+    private static String path(String uri) {
+        int query = uri.indexOf('?');
+        return query < 0 ? uri : uri.substring(0, query);
+    }
+
+    private static String firstPart(String path) {
+        int start = path.startsWith("/") ? 1 : 0;
+        int end = path.indexOf('/', start);
+        return path.substring(start, end < 0 ? path.length() : end);
+    }
+
+    private void content(HttpContent content) {
+        boolean last = content instanceof LastHttpContent;
+        if (state == State.RECEIVING && exchange != null) {
+            if (exchange.body.size() + content.content().readableBytes() > LARGEST_BODY) {
+                answer(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, 0);
+            } else if (!exchange.body.add(content.content())) {
+                // Nothing of it was sent on, so the client may try again when there is room.
+                answer(HttpResponseStatus.SERVICE_UNAVAILABLE, 0);
+            }
+        }
+        if (!last) {
+            return;
+        }
+        if (state == State.SKIPPING) {
+            answered();
+        } else if (state == State.RECEIVING && all.dispatcher.holds(exchange.id)) {
+            answer(HttpResponseStatus.BAD_REQUEST, 0);
+            answered();
+        } else if (state == State.RECEIVING) {
+            enter(State.WAITING);
+            all.dispatcher.arrived(exchange);
+        }
+    }
+
+    private void malformed(Throwable cause) {
+        keepAlive = false;
+        HttpResponseStatus status = HttpResponseStatus.BAD_REQUEST;
+        if (cause instanceof TooLongHttpLineException) {
+            status = HttpResponseStatus.REQUEST_URI_TOO_LONG;
+        } else if (cause instanceof TooLongHttpHeaderException) {
+            status = HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
+        }
+        boolean answered = state == State.SKIPPING;
+        if (!answered) {
+            state = State.RECEIVING;
+            answer(status, 0);
+        }
+        // Where the next request would begin is not known: no more is read from this client.
+        linger();
+    }
+
+    // ---- answers ----
+
+    void served(ServerAnswer answer) {
+        ByteBuf body = answer.body().size() > 0 ? answer.body().whole() : Unpooled.EMPTY_BUFFER;
+        DefaultFullHttpResponse response = new DefaultFullHttpResponse(version, HttpResponseStatus.OK, body);
+        if (answer.contentType() != null) {
+            response.headers().set(HttpHeaderNames.CONTENT_TYPE, answer.contentType());
+        }
+        finish(response);
+    }
+
+    void refused(long retryAfter) {
+        answer(HttpResponseStatus.SERVICE_UNAVAILABLE, retryAfter);
+    }
+
+    void failed(boolean late) {
+        answer(late ? HttpResponseStatus.GATEWAY_TIMEOUT : HttpResponseStatus.BAD_GATEWAY, 0);
+    }
+
+    private void answer(HttpResponseStatus status, long retryAfter) {
+        DefaultFullHttpResponse response = new DefaultFullHttpResponse(version, status, Unpooled.EMPTY_BUFFER);
+        if (retryAfter > 0) {
+            response.headers().set(HttpHeaderNames.RETRY_AFTER, Headers.seconds(retryAfter));
+        }
+        finish(response);
+    }
+
+    private void finish(DefaultFullHttpResponse response) {
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
+        HttpUtil.setKeepAlive(response, keepsAlive());
+        sent(channel.writeAndFlush(response));
+        if (state == State.RECEIVING) {
+            if (exchange != null) {
+                exchange.body.release();
+                exchange = null;
+            }
+            enter(State.SKIPPING);
+        } else {
+            answered();
+        }
+    }
+
+    private boolean keepsAlive() {
+        keepAlive &= !all.draining();
+        return keepAlive;
+    }
+
+    private void sent(ChannelFuture write) {
+        unread++;
+        unreadSince = all.clock.now();
+        write.addListener(f -> unread--);
+    }
+
+    /** The request is dealt with, its last byte has been read. */
+    private void answered() {
+        exchange = null;
+        if (keepAlive) {
+            enter(State.IDLE);
+            if (ahead.isEmpty()) {
+                channel.config().setAutoRead(true);
+            } else {
+                channel.eventLoop().execute(this::goOn);
+            }
+        } else {
+            linger();
+        }
+    }
+
+    private void linger() {
+        enter(State.CLOSING);
+        ahead.forEach(ReferenceCountUtil::release);
+        ahead.clear();
+        channel.config().setAutoRead(true);
+        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> channel.shutdownOutput());
+    }
+
+    // ---- answers that are passed on as they come ----
+
+    void streamBegins(ServerConnection from, ServerAnswer answer) {
+        enter(State.STREAMING);
+        source = from;
+        HttpResponse response = new DefaultHttpResponse(version, HttpResponseStatus.OK);
+        if (answer.contentType() != null) {
+            response.headers().set(HttpHeaderNames.CONTENT_TYPE, answer.contentType());
+        }
+        if (answer.length() >= 0) {
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.length());
+        } else if (version.isKeepAliveDefault()) {
+            HttpUtil.setTransferEncodingChunked(response, true);
+        } else {
+            keepAlive = false;
+        }
+        HttpUtil.setKeepAlive(response, keepsAlive());
+        channel.write(response);
+    }
+
+    void streamed(ByteBuf bytes) {
+        unreadSince = all.clock.now();
+        channel.writeAndFlush(new DefaultHttpContent(bytes));
+    }
+
+    boolean takesMore() {
+        return channel.isWritable();
+    }
+
+    void streamEnds(boolean whole) {
+        source = null;
+        if (whole) {
+            sent(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+            answered();
+        } else {
+            // A reset, so that the client can tell the answer is not whole, whatever its framing.
+            channel.config().setSoLinger(0);
+            channel.close();
+        }
+    }
+
+    // ---- ends ----
+
+    void checkProgress(long now) {
+        long spent = now - since;
+        switch (state) {
+            case IDLE -> {
+                if (headSince > 0 && now - headSince > LONGEST_HEAD) {
+                    keepAlive = false;
+                    state = State.RECEIVING;
+                    answer(HttpResponseStatus.REQUEST_TIMEOUT, 0);
+                    linger();
+                } else if (headSince == 0 && spent > LONGEST_IDLE) {
+                    close();
+                }
+            }
+            case RECEIVING, SKIPPING -> {
+                if (spent > BODY_GRACE + received * SECOND / SLOWEST_BODY_PER_SECOND) {
+                    keepAlive = false;
+                    if (state == State.RECEIVING) {
+                        answer(HttpResponseStatus.REQUEST_TIMEOUT, 0);
+                    }
+                    linger();
+                }
+            }
+            case CLOSING -> {
+                if (spent > LINGER && unread == 0) {
+                    close();
+                }
+            }
+            case WAITING, STREAMING -> { }
+        }
+        if ((unread > 0 || !channel.isWritable()) && now - unreadSince > LONGEST_UNREAD) {
+            close();
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        State before = state;
+        state = State.CLOSING;
+        all.closed(this);
+        ahead.forEach(ReferenceCountUtil::release);
+        ahead.clear();
+        if (source != null) {
+            ServerConnection from = source;
+            source = null;
+            from.sinkGone();
+        } else if (before == State.WAITING) {
+            all.dispatcher.clientGone(exchange);
+        } else if (exchange != null) {
+            exchange.body.release();
+        }
+        exchange = null;
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (!(cause instanceof java.io.IOException)) {
+            Log.failure("connection from a client", cause);
+        }
+        close();
+    }
+}
--- /dev/null
+++ b/src/main/java/onyxpaddle/node/Clock.java
@@ -0,0 +1,18 @@
+package onyxpaddle.node;
+
+final class Clock {
+    private static final long MILLI = 1_000_000L;
+
+    private final long epoch = System.currentTimeMillis() * MILLI;
+    private final long start = System.nanoTime();
+
+    /** Nanoseconds since the epoch. */
+    long now() {
+        return epoch + (System.nanoTime() - start);
+    }
+
+    /** The time of a discovery entry's {@code born_ms}; 0 stays 0, "long ago". */
+    static long ofMillis(long millis) {
+        return millis * MILLI;
+    }
+}
--- /dev/null
+++ b/src/main/java/onyxpaddle/node/Headers.java
@@ -0,0 +1,54 @@
+package onyxpaddle.node;
+
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+
+/** The headers that this protocol gives a meaning, and what passes from a caller to a server. */
+final class Headers {
+    static final String ID = "X-Trace-Id";
+    static final String REQUEST_CLASS = "X-Qos";
+    static final String EXPIRES_IN = "X-Expires-In";
+    private static final Set<String> NOT_PASSED_ON = Set.of("connection", "keep-alive", "proxy-connection",
+        "proxy-authenticate", "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade", "expect",
+        "host", "content-length", "x-expires-in");
+
+    private Headers() {
+    }
+
+    static HttpHeaders forServer(Exchange x, long nanosLeft) {
+        HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().withValidation(false).newHeaders();
+        headers.set(HttpHeaderNames.HOST, x.headers.get(HttpHeaderNames.HOST, "app.svc"));
+        String named = x.headers.get(HttpHeaderNames.CONNECTION, "").toLowerCase(Locale.ROOT);
+        for (Map.Entry<String, String> header : x.headers) {
+            String name = header.getKey().toLowerCase(Locale.ROOT);
+            if (!NOT_PASSED_ON.contains(name) && (named.isEmpty() || !namedIn(named, name))) {
+                headers.add(header.getKey(), header.getValue());
+            }
+        }
+        headers.set(EXPIRES_IN, seconds(Math.max(0, nanosLeft)));
+        if (x.body.size() > 0 || x.method.equals(HttpMethod.POST)) {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, x.body.size());
+        }
+        return headers;
+    }
+
+    private static boolean namedIn(String connection, String name) {
+        for (String word : connection.split(",")) {
+            if (word.trim().equals(name)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** A span as seconds with decimals, to the millisecond below. */
+    static String seconds(long nanos) {
+        long millis = nanos / 1_000_000;
+        return millis / 1000 + "." + Long.toString(1000 + millis % 1000).substring(1);
+    }
+}
--- /dev/null
+++ b/src/main/java/onyxpaddle/node/Node.java
@@ -0,0 +1,108 @@
+package onyxpaddle.node;
+
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import onyxpaddle.Balancing.ListKind;
+import onyxpaddle.RatioBalancer;
+
+/** The real node: one event loop that reads and writes all sockets and runs the module. */
+public final class Node {
+    /** How long a node that hears nothing of discovery waits before it works by the list it was started with. */
+    private static final long WAIT_FOR_LIST = 1_000_000_000L;
+    private static final long LONGEST_DRAIN_S = 10;
+    private static final int EXIT_CONFIG = 78;
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final Clock clock = new Clock();
+    private final long startedAt = clock.now();
+    private final CountDownLatch drained = new CountDownLatch(1);
+    private Dispatcher dispatcher;
+    private ServerConnections servers;
+    private Discovery discovery;
+    private ClientServer clients;
+    private boolean anyServer;
+    private InetSocketAddress bound;
+
+    private Node() {
+    }
+
+    /** Runs a node as the environment says, until it is told to stop. */
+    public static void main() {
+        try {
+            Node node = start(NodeConfig.load(System.getenv()));
+            Runtime.getRuntime().addShutdownHook(new Thread(node::drain, "drain"));
+        } catch (NodeConfig.InvalidConfigException e) {
+            System.err.println("weldlink: " + e.getMessage());
+            System.exit(EXIT_CONFIG);
+        } catch (Exception e) {
+            System.err.println("weldlink: cannot start: " + e);
+            System.exit(1);
+        }
+    }
+
+    static Node start(NodeConfig config) throws Exception {
+        Node node = new Node();
+        try {
+            node.group.next().submit(() -> node.build(config)).sync();
+            node.bound = (InetSocketAddress) node.clients.listen(config.listen()).sync().channel().localAddress();
+        } catch (Exception e) {
+            node.group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+            throw e;
+        }
+        Log.line("node " + config.name() + " listens on " + node.bound);
+        return node;
+    }
+
+    private void build(NodeConfig config) {
+        EventLoop loop = group.next();
+        ByteBufAllocator allocator = Sockets.allocator();
+        Budget budget = new Budget(config.sockets(), Runtime.getRuntime().maxMemory());
+        RatioBalancer module = new RatioBalancer(config.settings(), config.seed());
+        dispatcher = new Dispatcher(clock, loop, module, config.settings().limits());
+        servers = new ServerConnections(loop, allocator, clock, budget, dispatcher, config.keepalive(),
+            config.settings().limits().connectTimeout());
+        discovery = new Discovery(loop, allocator, config.discovery(), config.settings().mustAskMembership(),
+            config.known().seq(), roster -> apply(roster, roster.whole() ? ListKind.ALL : ListKind.CHANGES),
+            () -> dispatcher.membership(ListKind.REFUSED, List.of()));
+        dispatcher.connect(servers, discovery::subscribe);
+        clients = new ClientServer(loop, allocator, clock, budget, dispatcher, config.settings(), this::ready);
+        apply(config.known(), ListKind.REMEMBERED);
+        discovery.start();
+    }
+
+    private void apply(Roster roster, ListKind kind) {
+        anyServer |= !roster.hosts().isEmpty();
+        servers.apply(roster);
+        dispatcher.membership(kind, roster.entries());
+    }
+
+    private boolean ready() {
+        return anyServer && (discovery.heard() || clock.now() - startedAt > WAIT_FOR_LIST);
+    }
+
+    InetSocketAddress address() {
+        return bound;
+    }
+
+    /** Ends as planned: returns when all that was taken is answered. */
+    void drain() {
+        Log.line("draining");
+        group.next().execute(() -> clients.drain(drained::countDown));
+        try {
+            drained.await(LONGEST_DRAIN_S, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Ends at once. */
+    void stop() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+}
--- /dev/null
+++ b/src/main/java/onyxpaddle/node/NodeConfig.java
@@ -0,0 +1,151 @@
+package onyxpaddle.node;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import onyxpaddle.Balancing.Settings;
+import onyxpaddle.FlatSettings;
+
+/** What the node is told at its start: the environment and the file that {@code GW_CONFIG} names. */
+record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+        Roster known, Settings settings, long keepalive) {
+    private static final long USUAL_KEEPALIVE = 5_000_000_000L;
+
+    /** A setting that is missing or makes no sense; the message is one line and names it. */
+    static final class InvalidConfigException extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        InvalidConfigException(String message) {
+            super(message.lines().findFirst().orElse(""));
+        }
+    }
+
+    static NodeConfig load(Map<String, String> environment) throws InvalidConfigException {
+        String file = environment.get("GW_CONFIG");
+        if (file == null || file.isEmpty()) {
+            throw new InvalidConfigException("GW_CONFIG is not set");
+        }
+        byte[] json;
+        try {
+            json = Files.readAllBytes(Path.of(file));
+        } catch (IOException | java.nio.file.InvalidPathException e) {
+            throw new InvalidConfigException("GW_CONFIG: cannot read " + file + ": " + e);
+        }
+        return parse(json, environment);
+    }
+
+    /** The environment's name and addresses go before the file's, which hold the same. */
+    static NodeConfig parse(byte[] json, Map<String, String> environment) throws InvalidConfigException {
+        Map<String, String> flat = new HashMap<>();
+        Roster known = new Roster(0, true, List.of());
+        try (JsonParser p = Roster.JSON.createParser(json)) {
+            if (p.nextToken() != JsonToken.START_OBJECT) {
+                throw new InvalidConfigException("GW_CONFIG: not a JSON object");
+            }
+            while (p.nextToken() != JsonToken.END_OBJECT) {
+                String name = p.currentName();
+                p.nextToken();
+                if (name.equals("known") && p.currentToken() == JsonToken.START_OBJECT) {
+                    known = Roster.read(p);
+                } else {
+                    flatten(p, name, flat);
+                }
+            }
+        } catch (IOException e) {
+            throw new InvalidConfigException("GW_CONFIG: " + e.getMessage());
+        }
+        environment.forEach((variable, value) -> {
+            if (variable.startsWith("GW_") && !value.isEmpty()) {
+                flat.put(variable.substring(3).toLowerCase(java.util.Locale.ROOT), value);
+            }
+        });
+        Map<String, String> pairs = new HashMap<>();
+        flat.forEach((path, value) -> {
+            if (path.startsWith("settings.")) {
+                pairs.put(path.substring("settings.".length()), value);
+            }
+        });
+        if (pairs.isEmpty()) {
+            throw new InvalidConfigException("settings: missing");
+        }
+        try {
+            FlatSettings settings = new FlatSettings(pairs);
+            long keepalive = settings.span("limits.keepaliveS");
+            return new NodeConfig(flat.getOrDefault("name", ""), address(flat, "listen"),
+                address(flat, "discovery"), seed(flat), sockets(flat), known, settings.settings(),
+                keepalive > 0 ? keepalive : USUAL_KEEPALIVE);
+        } catch (IllegalArgumentException e) {
+            throw new InvalidConfigException("settings: " + e.getMessage());
+        }
+    }
+
+    private static InetSocketAddress address(Map<String, String> flat, String name) throws InvalidConfigException {
+        String text = flat.getOrDefault(name, "");
+        try {
+            return Roster.address(text);
+        } catch (IOException e) {
+            throw new InvalidConfigException(name + ": " + (text.isEmpty() ? "missing" : e.getMessage()));
+        }
+    }
+
+    private static long seed(Map<String, String> flat) throws InvalidConfigException {
+        try {
+            return Long.parseUnsignedLong(flat.getOrDefault("seed", ""), 16);
+        } catch (NumberFormatException e) {
+            throw new InvalidConfigException("seed: not 16 hex digits: " + flat.getOrDefault("seed", "missing"));
+        }
+    }
+
+    private static int sockets(Map<String, String> flat) throws InvalidConfigException {
+        String text = flat.getOrDefault("limits.sockets", "");
+        try {
+            int sockets = (int) Double.parseDouble(text);
+            if (sockets >= 100) {
+                return sockets;
+            }
+        } catch (NumberFormatException e) {
+            // reported below, like a number that is too small
+        }
+        throw new InvalidConfigException("limits.sockets: not a number from 100 on: "
+            + (text.isEmpty() ? "missing" : text));
+    }
+
+    private static void flatten(JsonParser p, String path, Map<String, String> flat) throws IOException {
+        switch (p.currentToken()) {
+            case START_OBJECT -> {
+                while (p.nextToken() != JsonToken.END_OBJECT) {
+                    String name = p.currentName();
+                    p.nextToken();
+                    flatten(p, path + "." + name, flat);
+                }
+            }
+            case START_ARRAY -> {
+                StringBuilder plain = new StringBuilder();
+                int count = 0;
+                boolean objects = false;
+                while (p.nextToken() != JsonToken.END_ARRAY) {
+                    if (p.currentToken().isScalarValue()) {
+                        plain.append(count == 0 ? "" : ",").append(p.getText().replace(',', '_'));
+                    } else {
+                        objects = true;
+                        flatten(p, path + "." + count, flat);
+                    }
+                    count++;
+                }
+                if (objects) {
+                    flat.put(path + ".count", Integer.toString(count));
+                } else {
+                    flat.put(path, plain.toString());
+                }
+            }
+            case VALUE_NULL -> { }
+            default -> flat.put(path, p.getText());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/onyxpaddle/node/ServerAnswer.java
@@ -0,0 +1,4 @@
+package onyxpaddle.node;
+
+record ServerAnswer(String contentType, long length, Body body) {
+}
--- /dev/null
+++ b/src/main/java/onyxpaddle/node/ServerConnection.java
@@ -0,0 +1,334 @@
+package onyxpaddle.node;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.util.concurrent.TimeUnit;
+import onyxpaddle.Balancing.Outcome;
+
+final class ServerConnection extends ChannelInboundHandlerAdapter {
+    /** Answers up to this are held whole, so that a broken one can be tried again; longer ones pass through. */
+    static final int HELD = 64 * 1024;
+    /**
+     * An answer that does not state its length is held for this long and this much only: if it turns out to be a
+     * long one, its first bytes are what its client's time counts by, and a slow server takes a second for 64 KiB.
+     */
+    private static final int HELD_UNSIZED = 16 * 1024;
+    private static final long HELD_UNSIZED_FOR = 100_000_000L;
+    /** A server pauses within an answer for 0.1 s at most; one that says nothing for so long has broken off. */
+    private static final long LONGEST_PAUSE = 5_000_000_000L;
+    private static final int MOST_SKIPPED = 64 * 1024;
+    private static final long MILLI = 1_000_000L;
+    private static final long AT_ONCE = 10 * MILLI;
+
+    final String server;
+    final Channel channel;
+    long idleSince;
+    private int uses;
+    private long startedAt;
+    private final ServerConnections all;
+    /** The attempt that waits for its outcome, or null. */
+    private Attempt attempt;
+    private boolean exchanging;
+    private boolean requestWritten;
+    private int nextPiece;
+    private boolean interim;
+    private boolean answering;
+    private boolean reusable;
+    private int skipped;
+    private ServerAnswer answer;
+    private boolean passOn;
+    private ClientConnection sink;
+    private long progressAt;
+
+    ServerConnection(ServerConnections all, String server, Channel channel) {
+        this.all = all;
+        this.server = server;
+        this.channel = channel;
+    }
+
+    boolean usable() {
+        return channel.isActive() && !exchanging;
+    }
+
+    void close() {
+        channel.close();
+    }
+
+    // ---- the request ----
+
+    void start(Attempt next) {
+        attempt = next;
+        next.connection = this;
+        exchanging = true;
+        requestWritten = false;
+        answering = false;
+        reusable = false;
+        skipped = 0;
+        nextPiece = 0;
+        progressAt = all.clock.now();
+        startedAt = progressAt;
+        uses++;
+        Exchange x = next.exchange;
+        HttpHeaders headers = Headers.forServer(x, next.until - progressAt);
+        if (x.body.size() <= HELD) {
+            ByteBuf body = x.body.size() == 0 ? Unpooled.EMPTY_BUFFER : x.body.whole();
+            channel.writeAndFlush(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, x.method, x.uri, body, headers,
+                EmptyHttpHeaders.INSTANCE)).addListener(f -> written(next, f.isSuccess()));
+        } else {
+            channel.write(new DefaultHttpRequest(HttpVersion.HTTP_1_1, x.method, x.uri, headers));
+            writePieces();
+        }
+    }
+
+    private void writePieces() {
+        Attempt current = attempt;
+        while (current != null && attempt == current && nextPiece < current.exchange.body.pieces()
+                && channel.isWritable()) {
+            int index = nextPiece++;
+            boolean last = nextPiece == current.exchange.body.pieces();
+            progressAt = all.clock.now();
+            channel.writeAndFlush(new DefaultHttpContent(current.exchange.body.piece(index)));
+            if (last) {
+                channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+                    .addListener(f -> written(current, f.isSuccess()));
+            }
+        }
+    }
+
+    private void written(Attempt of, boolean success) {
+        if (success && attempt == of) {
+            of.written = true;
+            requestWritten = true;
+            progressAt = all.clock.now();
+        } else if (!success) {
+            channel.close();
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        if (attempt != null && !attempt.written) {
+            writePieces();
+        }
+    }
+
+    // ---- the answer ----
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        try {
+            progressAt = all.clock.now();
+            if (!exchanging) {
+                close();
+                return;
+            }
+            if (message instanceof HttpResponse response) {
+                head(response);
+            }
+            if (message instanceof HttpContent content) {
+                if (content.decoderResult().isFailure()) {
+                    end(Outcome.RESET);
+                    close();
+                } else if (interim) {
+                    interim = !(content instanceof LastHttpContent);
+                } else {
+                    content(content);
+                }
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void head(HttpResponse response) {
+        if (response.decoderResult().isFailure()) {
+            end(Outcome.ERROR);
+            close();
+            return;
+        }
+        int status = response.status().code();
+        if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            interim = true;
+            return;
+        }
+        answering = true;
+        reusable = HttpUtil.isKeepAlive(response);
+        if (status == 200) {
+            long length = HttpUtil.getContentLength(response, -1L);
+            answer = new ServerAnswer(response.headers().get(HttpHeaderNames.CONTENT_TYPE), length,
+                new Body(all.budget, length));
+            passOn = false;
+            if (length < 0) {
+                ServerAnswer held = answer;
+                channel.eventLoop().schedule(() -> heldLongEnough(held), HELD_UNSIZED_FOR, TimeUnit.NANOSECONDS);
+            }
+            return;
+        }
+        // A refusal counts as never run only with the server's own word for it; a bare 503 may have run.
+        boolean neverRan = (status == 503 || status == 504)
+            && "1".equals(response.headers().get("X-Never-Ran"));
+        end(neverRan ? Outcome.FULL : Outcome.ERROR);
+    }
+
+    private void content(HttpContent content) {
+        if (sink != null) {
+            sink.streamed(content.content().retain());
+            if (!sink.takesMore()) {
+                channel.config().setAutoRead(false);
+            }
+        } else if (answer != null && attempt != null) {
+            hold(content.content());
+        } else {
+            skipped += content.content().readableBytes();
+            if (skipped > MOST_SKIPPED) {
+                close();
+            }
+        }
+        if (content instanceof LastHttpContent) {
+            complete();
+        }
+    }
+
+    private void hold(ByteBuf bytes) {
+        int most = answer.length() < 0 ? HELD_UNSIZED : HELD;
+        boolean fits = answer.length() <= HELD && answer.body().size() + bytes.readableBytes() <= most;
+        if (!fits || passOn || !answer.body().add(bytes)) {
+            passOn(bytes);
+        }
+    }
+
+    private void heldLongEnough(ServerAnswer held) {
+        if (answer == held && attempt != null && sink == null) {
+            passOn = true;
+            if (held.body().size() > 0) {
+                passOn(Unpooled.EMPTY_BUFFER);
+            }
+        }
+    }
+
+    private void passOn(ByteBuf bytes) {
+        ClientConnection client = attempt.exchange.client;
+        if (!bytes.isReadable() && answer.body().size() == 0 || !all.dispatcher.streamBegins(attempt)) {
+            return;
+        }
+        sink = client;
+        sink.streamBegins(this, answer);
+        if (answer.body().size() > 0) {
+            sink.streamed(answer.body().whole());
+            answer.body().release();
+        }
+        if (bytes.isReadable()) {
+            sink.streamed(bytes.retain());
+        }
+        if (!sink.takesMore()) {
+            channel.config().setAutoRead(false);
+        }
+    }
+
+    private void complete() {
+        ClientConnection to = sink;
+        sink = null;
+        if (to != null) {
+            to.streamEnds(true);
+        }
+        end(Outcome.OK);
+        exchanging = false;
+        answering = false;
+        if (reusable && requestWritten && channel.isActive()) {
+            channel.config().setAutoRead(true);
+            all.release(this);
+        } else {
+            close();
+        }
+    }
+
+    /** Ends the attempt, if it waits still, and lets go of what was held of the answer. */
+    private void end(Outcome outcome) {
+        Attempt current = attempt;
+        ServerAnswer held = answer;
+        ClientConnection to = sink;
+        attempt = null;
+        answer = null;
+        sink = null;
+        if (to != null) {
+            to.streamEnds(false);
+        }
+        if (current != null) {
+            all.dispatcher.ended(current, outcome, current.streaming ? null : held);
+        }
+        if (held != null) {
+            held.body().release();
+        }
+    }
+
+    /** The attempt is given up by its owner, who says how it ended. */
+    void abandon() {
+        attempt = null;
+        end(Outcome.CANCELLED);
+        close();
+    }
+
+    /** The client of the stream has room again. */
+    void resume() {
+        progressAt = all.clock.now();
+        channel.config().setAutoRead(true);
+    }
+
+    /** The client of the stream has gone. */
+    void sinkGone() {
+        sink = null;
+        end(Outcome.CANCELLED);
+        close();
+    }
+
+    /** Ends a stream that its server has left hanging; what waits for its first byte has a time-out of its own. */
+    void checkProgress(long now) {
+        boolean hanging = sink != null ? channel.config().isAutoRead() : exchanging && attempt == null;
+        if (hanging && now - progressAt > LONGEST_PAUSE) {
+            broken();
+            close();
+        }
+    }
+
+    private void broken() {
+        if (attempt != null && attempt.written) {
+            if (uses > 1 && !answering && all.clock.now() - startedAt < AT_ONCE) {
+                all.brokenOnReuse();
+            }
+            Log.line("server " + server + " broke off request " + uses + " of a connection, "
+                + (all.clock.now() - startedAt) / MILLI + " ms after its start, idle before for "
+                + (uses > 1 ? (startedAt - idleSince) / MILLI : 0) + " ms");
+        }
+        end(attempt != null && !attempt.written ? Outcome.CONNECT_FAILED : Outcome.RESET);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        broken();
+        all.closed(this);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (!(cause instanceof java.io.IOException)) {
+            Log.failure("connection to server " + server, cause);
+        }
+        close();
+    }
+}
--- /dev/null
+++ b/src/main/java/onyxpaddle/node/ServerConnections.java
@@ -0,0 +1,216 @@
+package onyxpaddle.node;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import onyxpaddle.Balancing.Effect;
+import onyxpaddle.Balancing.Outcome;
+import onyxpaddle.Balancing.ServerState;
+
+final class ServerConnections {
+    private static final double IDLE_SHARE = 0.7;
+    static final long FRESH = 100_000_000L;
+    private static final long WARY = 10_000_000_000L;
+    private static final int MOST_IDLE = 16;
+    private static final long SWEEP_MS = 250;
+
+    final Clock clock;
+    final Budget budget;
+    final Dispatcher dispatcher;
+    private final Bootstrap bootstrap;
+    private final long mostIdle;
+    private final Map<String, Peer> peers = new HashMap<>();
+    private final Set<ServerConnection> open = new HashSet<>();
+    private int descriptors;
+    private long waryUntil;
+
+    /** A server as this node reaches it. */
+    private static final class Peer {
+        InetSocketAddress address;
+        long startedAt;
+        final ArrayDeque<ServerConnection> idle = new ArrayDeque<>();
+    }
+
+    ServerConnections(EventLoop loop, ByteBufAllocator allocator, Clock clock, Budget budget,
+            Dispatcher dispatcher, long keepalive, long dialTimeout) {
+        this.clock = clock;
+        this.budget = budget;
+        this.dispatcher = dispatcher;
+        mostIdle = (long) (IDLE_SHARE * keepalive);
+        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+            .option(ChannelOption.ALLOCATOR, allocator)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, dialTimeout / 1_000_000))
+            .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(Sockets.READ_SIZE))
+            .option(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(32 * 1024, 64 * 1024))
+            .handler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel channel) {
+                    channel.pipeline().addLast(new HttpClientCodec(new HttpDecoderConfig()
+                        .setMaxChunkSize(Sockets.READ_SIZE), false, false));
+                }
+            });
+        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+    }
+
+    // ---- servers ----
+
+    void apply(Roster roster) {
+        if (roster.whole()) {
+            Set<String> left = new HashSet<>(peers.keySet());
+            roster.hosts().forEach(host -> left.remove(host.entry().server()));
+            left.forEach(this::remove);
+        }
+        for (Roster.Host host : roster.hosts()) {
+            String server = host.entry().server();
+            if (host.entry().state() == ServerState.GONE) {
+                remove(server);
+                continue;
+            }
+            Peer peer = peers.computeIfAbsent(server, s -> new Peer());
+            boolean other = !host.address().equals(peer.address) || peer.startedAt != host.entry().startedAt();
+            if (other || host.entry().state() == ServerState.DRAINING) {
+                closeIdle(peer);
+            }
+            peer.address = host.address();
+            peer.startedAt = host.entry().startedAt();
+        }
+    }
+
+    private void remove(String server) {
+        Peer peer = peers.remove(server);
+        if (peer != null) {
+            closeIdle(peer);
+        }
+    }
+
+    private static void closeIdle(Peer peer) {
+        for (ServerConnection c = peer.idle.poll(); c != null; c = peer.idle.poll()) {
+            c.close();
+        }
+    }
+
+    // ---- attempts ----
+
+    void send(Attempt attempt) {
+        Peer peer = peers.get(attempt.server);
+        if (peer == null) {
+            dispatcher.ended(attempt, Outcome.CONNECT_FAILED, null);
+            return;
+        }
+        long now = clock.now();
+        long oldest = mostIdle;
+        if (attempt.exchange.requestClass.effect() != Effect.SAFE) {
+            oldest = now < waryUntil ? 0 : FRESH;
+        }
+        for (ServerConnection c = peer.idle.pollFirst(); c != null; c = peer.idle.pollFirst()) {
+            if (c.usable() && now - c.idleSince < oldest) {
+                c.start(attempt);
+                return;
+            }
+            c.close();
+        }
+        dial(peer, attempt);
+    }
+
+    private void dial(Peer peer, Attempt attempt) {
+        if (descriptors >= budget.servers && !closeOldestIdle()) {
+            dispatcher.ended(attempt, Outcome.CONNECT_FAILED, null);
+            return;
+        }
+        descriptors++;
+        ChannelFuture dial = bootstrap.connect(peer.address);
+        attempt.dial = dial;
+        dial.addListener(f -> {
+            if (attempt.ended) {
+                dial.channel().close();
+            } else if (!f.isSuccess()) {
+                dial.channel().close();
+                dispatcher.ended(attempt, Outcome.CONNECT_FAILED, null);
+            } else {
+                attempt.dial = null;
+                ServerConnection c = new ServerConnection(this, attempt.server, dial.channel());
+                open.add(c);
+                dial.channel().pipeline().addLast(c);
+                c.start(attempt);
+            }
+        });
+    }
+
+    void giveUp(Attempt attempt) {
+        if (attempt.dial != null) {
+            attempt.dial.channel().close();
+        } else if (attempt.connection != null) {
+            attempt.connection.abandon();
+        }
+    }
+
+    // ---- the pool ----
+
+    void brokenOnReuse() {
+        waryUntil = clock.now() + WARY;
+    }
+
+    void release(ServerConnection c) {
+        Peer peer = peers.get(c.server);
+        if (peer == null || !c.channel.remoteAddress().equals(peer.address)) {
+            c.close();
+            return;
+        }
+        c.idleSince = clock.now();
+        peer.idle.addFirst(c);
+        if (peer.idle.size() > MOST_IDLE) {
+            peer.idle.pollLast().close();
+        }
+    }
+
+    void closed(ServerConnection c) {
+        open.remove(c);
+        Peer peer = peers.get(c.server);
+        if (peer != null) {
+            peer.idle.remove(c);
+        }
+    }
+
+    private boolean closeOldestIdle() {
+        ServerConnection oldest = null;
+        for (Peer peer : peers.values()) {
+            ServerConnection c = peer.idle.peekLast();
+            if (c != null && (oldest == null || c.idleSince < oldest.idleSince)) {
+                oldest = c;
+            }
+        }
+        if (oldest != null) {
+            oldest.close();
+        }
+        return oldest != null;
+    }
+
+    private void sweep() {
+        long now = clock.now();
+        for (Peer peer : peers.values()) {
+            while (!peer.idle.isEmpty() && now - peer.idle.peekLast().idleSince >= mostIdle) {
+                peer.idle.pollLast().close();
+            }
+        }
+        for (ServerConnection c : open.toArray(new ServerConnection[0])) {
+            c.checkProgress(now);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/onyxpaddle/AdmissionTest.java
@@ -0,0 +1,99 @@
+package onyxpaddle;
+
+import static onyxpaddle.Node.MS;
+import static onyxpaddle.Node.only;
+import static onyxpaddle.Node.sent;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import onyxpaddle.Balancing.*;
+import org.junit.jupiter.api.Test;
+
+class AdmissionTest {
+    private static final RequestClass CHEAP = Node.requestClass("cheap", Effect.UNSAFE, KeyGroup.ALL);
+    private static final RequestClass DEAR = new RequestClass("dear", Effect.UNSAFE, KeyGroup.ALL, 0, 400 * MS, 0,
+        2 * Node.SECOND, 9, 0, false);
+
+    /** Sends until the node no longer lets requests in and returns those sent. */
+    private static List<String> fill(Node node) {
+        List<String> sent = new ArrayList<>();
+        for (int i = 0; ; i++) {
+            if (sent(node.arrive("f" + i, "cheap")) == null) {
+                return sent;
+            }
+            sent.add("f" + i);
+        }
+    }
+
+    @Test
+    void requestsBeyondTheLimitAreRefusedSoonAndNotSent() {
+        Node node = new Node(Node.settings(CHEAP, DEAR), 1).list("a", "b");
+        assertTrue(fill(node).size() < 100);
+        long before = node.now;
+        List<Action> actions = node.fire(List.of(new SetTimer(100 * MS, "due")));
+        assertTrue(only(actions, Refuse.class).orElseThrow().retryAfter() > 0, "" + actions);
+        assertTrue(node.now - before < 400 * MS);
+    }
+
+    @Test
+    void whatIsWorthMostIsLetInFirst() {
+        Node node = new Node(Node.settings(CHEAP, DEAR), 1).list("a", "b");
+        List<String> sent = fill(node);
+        node.arrive("dear", "dear");
+        List<Send> let = new ArrayList<>();
+        for (int i = 0; let.isEmpty(); i++) {
+            node.handle(new AttemptEnded(sent.get(i), 0, "a", Outcome.OK, 20 * MS, true, null)).stream()
+                .filter(Send.class::isInstance).forEach(action -> let.add((Send) action));
+        }
+        assertEquals("dear", let.get(0).request());
+    }
+
+    /** Overload once served the dearest class no better than the cheapest, first come first let in. */
+    @Test
+    void lastPartOfTheLimitIsKeptForWhatIsWorthMore() {
+        Node node = new Node(Node.settings(CHEAP, DEAR), 1).list("a", "b");
+        List<Integer> letIn = new ArrayList<>();
+        int dear = 0;
+        for (int i = 0; i < 40; i++) {
+            // One dear request for three cheap ones makes the usual lie between the two.
+            boolean isDear = i % 4 == 0;
+            boolean sent = sent(node.arrive("m" + i, isDear ? "dear" : "cheap")) != null;
+            if (sent) {
+                letIn.add(i);
+                dear += isDear ? 1 : 0;
+            }
+        }
+        assertTrue(dear * 3 >= letIn.size(), dear + " dear of " + letIn);
+    }
+
+    @Test
+    void tenantBeyondItsQuotaWaitsBehindTheOthers() {
+        Settings s = Node.settings(CHEAP);
+        Node node = new Node(new Settings(s.zone(), s.zones(), 0, 0, 2, s.classes(),
+            List.of(new Tenant("greedy", 20), new Tenant("modest", 20)), 0.1, false, false, Weights.NONE, List.of(),
+            0, 2 * MS, s.limits(), s.rules()), 1).list("a", "b");
+        List<String> sent = fill(node);
+        // Its half of the quota is 10 requests a second, for all that this node knows.
+        for (int i = 0; i < 11; i++) {
+            arrive(node, "g" + i, "greedy");
+        }
+        arrive(node, "m", "modest");
+        List<String> order = new ArrayList<>();
+        for (int i = 0; i < sent.size(); i++) {
+            node.handle(new AttemptEnded(sent.get(i), 0, "a", Outcome.OK, 20 * MS, true, null)).stream()
+                .filter(Send.class::isInstance).forEach(a -> order.add(((Send) a).request()));
+        }
+        for (int i = 0; order.size() < 12; i++) {
+            String next = order.get(i);
+            node.handle(new AttemptEnded(next, 0, "a", Outcome.OK, 20 * MS, true, null)).stream()
+                .filter(Send.class::isInstance).forEach(a -> order.add(((Send) a).request()));
+        }
+        assertTrue(order.contains("m") && !order.contains("g10"), "" + order);
+    }
+
+    private static void arrive(Node node, String request, String tenant) {
+        node.handle(new Arrival(request, "cheap", node.now + 2 * Node.SECOND, tenant, 0, false));
+    }
+}
--- /dev/null
+++ b/src/test/java/onyxpaddle/ColdServerTest.java
@@ -0,0 +1,70 @@
+package onyxpaddle;
+
+import static onyxpaddle.Node.MS;
+import static onyxpaddle.Node.SECOND;
+import static onyxpaddle.Node.sent;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import onyxpaddle.Balancing.*;
+import org.junit.jupiter.api.Test;
+
+class ColdServerTest {
+    /** Calls to the cold servers when this many a second are served over the span, each in 50 ms. */
+    private static int coldCalls(Node node, int perSecond, double seconds) {
+        int calls = 0;
+        for (int i = 0; i < perSecond * seconds; i++) {
+            String server = sent(node.arrive("r" + i, "read"));
+            node.now += SECOND / perSecond;
+            calls += server != null && server.startsWith("c") ? 1 : 0;
+            if (server != null) {
+                node.end("r" + i, 0, server, Outcome.OK, 50 * MS);
+            }
+        }
+        return calls;
+    }
+
+    private static Node node(int warm, int cold) {
+        Node node = Node.plain();
+        List<ServerEntry> entries = new ArrayList<>();
+        for (int i = 0; i < warm; i++) {
+            entries.add(node.entry("w" + i, ServerState.READY, 0));
+        }
+        for (int i = 0; i < cold; i++) {
+            entries.add(node.entry("c" + i, ServerState.READY, node.now));
+        }
+        node.handle(new Membership(ListKind.REMEMBERED, entries));
+        return node;
+    }
+
+    @Test
+    void coldServerGetsNoMoreThanItsPresentPartOfAWarmOnesCalls() {
+        // 100 calls a second on 10 servers: a warm one carries 10 a second, a fresh one is good for a fifth.
+        int calls = coldCalls(node(9, 1), 100, 2);
+        assertTrue(calls > 0 && calls <= 8, calls + " calls in the first 2 s");
+    }
+
+    @Test
+    void limitHoldsWhenHalfOfTheServersRestartAtOnce() {
+        int calls = coldCalls(node(5, 5), 100, 1);
+        assertTrue(calls <= 5 * 7, calls + " calls in the first second");
+    }
+
+    @Test
+    void limitHoldsWhereEveryListedServerIsCold() {
+        int calls = coldCalls(node(0, 10), 100, 1);
+        assertTrue(calls > 0 && calls <= 40, calls + " calls in the first second");
+    }
+
+    @Test
+    void nodesDoNotAllSendTheirFirstCallAtOnce() {
+        int first = 0;
+        for (int seed = 0; seed < 100; seed++) {
+            Node node = new Node(Node.settings(Node.requestClass("read", Effect.SAFE, KeyGroup.ALL)), seed);
+            node.handle(new Membership(ListKind.REMEMBERED, List.of(node.entry("c", ServerState.READY, node.now))));
+            first += sent(node.arrive("r", "read")) == null ? 0 : 1;
+        }
+        assertTrue(first < 25, first + " of 100 nodes sent at once");
+    }
+}
--- /dev/null
+++ b/src/test/java/onyxpaddle/DrawTest.java
@@ -0,0 +1,129 @@
+package onyxpaddle;
+
+import static onyxpaddle.Node.MS;
+import static onyxpaddle.Node.sent;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashMap;
+import java.util.Map;
+import onyxpaddle.Balancing.*;
+import org.junit.jupiter.api.Test;
+
+class DrawTest {
+    private static final int DRAWS = 20_000;
+
+    /** Frequencies of first choices, each request withdrawn at once so that it leaves no trace. */
+    private static Map<String, Double> frequencies(Node node) {
+        Map<String, Double> share = new HashMap<>();
+        for (int i = 0; i < DRAWS; i++) {
+            String id = "d" + i;
+            String server = sent(node.arrive(id, "write"));
+            share.merge(server, 1.0 / DRAWS, Double::sum);
+            node.end(id, 0, server, Outcome.NOT_SENT, 0);
+            node.handle(new ClientGone(id));
+            node.end(id, 1, server, Outcome.NOT_SENT, 0);
+        }
+        return share;
+    }
+
+    /** Gives each server a full window of the given round trip, by serving whatever is drawn. */
+    private static void fill(Node node, Map<String, Long> trips) {
+        Map<String, Integer> left = new HashMap<>();
+        trips.keySet().forEach(s -> left.put(s, 20));
+        for (int i = 0; !left.isEmpty(); i++) {
+            String server = sent(node.arrive("f" + i, "write"));
+            node.end("f" + i, 0, server, Outcome.OK, trips.get(server));
+            left.computeIfPresent(server, (s, n) -> n == 1 ? null : n - 1);
+        }
+    }
+
+    @Test
+    void lowerMeanOfTwoDrawsByBestOverOwnWins() {
+        Node node = Node.plain().list("a", "b");
+        // Every class's usual trip settles between the two, the ratio of the means stays near 1 to 3.
+        fill(node, Map.of("a", 50 * MS, "b", 150 * MS));
+        Map<String, Double> share = frequencies(node);
+        // p(b) = (1/3) / (4/3) = 1/4 and b is sent to only where both draws name it.
+        assertEquals(1.0 / 16, share.get("b"), 0.02);
+    }
+
+    @Test
+    void unsampledServerCountsAsTheBest() {
+        Node node = Node.plain().list("a", "b");
+        fill(node, Map.of("a", 50 * MS, "b", 50 * MS));
+        node.list("a", "b", "new");
+        Map<String, Double> share = frequencies(node);
+        // Three servers near the same mean: each is drawn about as often.
+        assertTrue(share.get("new") > 0.2, share.toString());
+    }
+
+    @Test
+    void failuresLowerAServersChanceButNeverToZeroAndAServedCallClearsThem() {
+        Node node = Node.plain().list("a", "b");
+        fill(node, Map.of("a", 50 * MS, "b", 50 * MS));
+        int failures = 0;
+        for (int i = 0; failures < 3; i++) {
+            String server = sent(node.arrive("e" + i, "write"));
+            boolean fails = server.equals("b");
+            failures += fails ? 1 : 0;
+            node.end("e" + i, 0, server, fails ? Outcome.ERROR : Outcome.OK, 50 * MS);
+        }
+        double share = frequencies(node).get("b");
+        assertTrue(share > 0 && share < 0.25, "share " + share);
+        for (int i = 0; failures > 0; i++) {
+            String server = sent(node.arrive("o" + i, "write"));
+            failures -= server.equals("b") ? failures : 0;
+            node.end("o" + i, 0, server, Outcome.OK, 50 * MS);
+        }
+        assertEquals(0.5, frequencies(node).get("b"), 0.2);
+    }
+
+    /** Every other call of a server fails fast: each served one clears the count, so the count alone misses it. */
+    @Test
+    void serverThatErrsHalfTheTimeIsDrawnMuchLess() {
+        Node node = Node.plain().list("a", "b");
+        fill(node, Map.of("a", 50 * MS, "b", 50 * MS));
+        int calls = 0;
+        for (int i = 0; calls < 30; i++) {
+            String server = sent(node.arrive("h" + i, "write"));
+            calls += server.equals("b") ? 1 : 0;
+            boolean errs = server.equals("b") && calls % 2 == 1;
+            node.end("h" + i, 0, server, errs ? Outcome.ERROR : Outcome.OK, 50 * MS);
+        }
+        // The last call was served, so the count is clear.
+        double share = frequencies(node).get("b");
+        assertTrue(share > 0 && share < 0.2, "share " + share);
+        node.now += 60 * Node.SECOND;
+        assertEquals(0.5, frequencies(node).get("b"), 0.1);
+    }
+
+    @Test
+    void failureCountDecaysWithTime() {
+        Node node = Node.plain().list("a", "b");
+        fill(node, Map.of("a", 50 * MS, "b", 50 * MS));
+        String server = "";
+        for (int i = 0; !server.equals("b"); i++) {
+            server = sent(node.arrive("e" + i, "write"));
+            node.end("e" + i, 0, server, server.equals("b") ? Outcome.RESET : Outcome.OK, 50 * MS);
+        }
+        double soon = frequencies(node).get("b");
+        node.now += 20 * Node.SECOND;
+        assertTrue(frequencies(node).get("b") > soon + 0.1);
+    }
+
+    @Test
+    void silentServerIsDrawnLessAlthoughItsMeanIsOld() {
+        Node node = Node.plain().list("a", "b");
+        fill(node, Map.of("a", 50 * MS, "b", 50 * MS));
+        for (int i = 0; ; i++) {
+            String server = sent(node.arrive("s" + i, "write"));
+            if (server.equals("b")) {
+                break;
+            }
+            node.end("s" + i, 0, server, Outcome.OK, 50 * MS);
+        }
+        node.now += 1000 * MS;
+        assertTrue(frequencies(node).getOrDefault("b", 0.0) < 0.05);
+    }
+}
--- /dev/null
+++ b/src/test/java/onyxpaddle/ZoneTest.java
@@ -0,0 +1,37 @@
+package onyxpaddle;
+
+import static onyxpaddle.Node.MS;
+import static onyxpaddle.Node.sent;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import onyxpaddle.Balancing.*;
+import org.junit.jupiter.api.Test;
+
+class ZoneTest {
+    /** Each server of a cut-off zone failed but once, so their own counts alone would not steer away. */
+    @Test
+    void zoneThatAnswersNothingIsAvoidedAsAWhole() {
+        Node node = Node.plain();
+        List<ServerEntry> entries = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            entries.add(new ServerEntry("e" + i, "east", 1, ServerState.READY, 1, 0));
+            entries.add(new ServerEntry("w" + i, "west", 2, ServerState.READY, 1, 0));
+        }
+        node.handle(new Membership(ListKind.ALL, entries));
+        int cutSends = 0;
+        for (int i = 0; i < 400; i++) {
+            String server = sent(node.arrive("r" + i, "read"));
+            int attempt = 0;
+            while (server != null && server.startsWith("w")) {
+                cutSends++;
+                server = sent(node.end("r" + i, attempt++, server, Outcome.CONNECT_FAILED, 100 * MS));
+            }
+            if (server != null) {
+                node.end("r" + i, attempt, server, Outcome.OK, 50 * MS);
+            }
+        }
+        assertTrue(cutSends < 25, cutSends + " calls into the zone that was cut off");
+    }
+}
--- /dev/null
+++ b/src/test/java/onyxpaddle/node/ConfigTest.java
@@ -0,0 +1,74 @@
+package onyxpaddle.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import onyxpaddle.Balancing.Effect;
+import org.junit.jupiter.api.Test;
+
+/** What the configuration says, and what is said about one that makes no sense. */
+class ConfigTest {
+    private static final String SOUND = new String(Harness.config("127.0.0.1:9", Harness.host("s", "127.0.0.1:8"),
+        500, ""), StandardCharsets.UTF_8);
+
+    private static NodeConfig parse(String json) throws NodeConfig.InvalidConfigException {
+        return NodeConfig.parse(json.getBytes(StandardCharsets.UTF_8), Map.of());
+    }
+
+    private static void names(String setting, String json) {
+        String message = assertThrows(NodeConfig.InvalidConfigException.class, () -> parse(json)).getMessage();
+        assertTrue(message.contains(setting), message);
+        assertEquals(1, message.lines().count(), message);
+    }
+
+    @Test
+    void settingsAreReadAsTheWireStatesThem() throws Exception {
+        NodeConfig config = parse(SOUND);
+        assertEquals(500, config.sockets());
+        assertEquals(15, config.seed());
+        assertEquals(5_000_000_000L, config.keepalive());
+        assertEquals("s", config.known().hosts().get(0).entry().server());
+        assertEquals(Effect.SAFE, config.settings().classes().get(0).effect());
+        assertEquals(8_000_000_000L, config.settings().classes().get(1).deadline());
+        assertEquals(java.util.List.of("a"), config.settings().zones());
+        assertEquals(4, config.settings().limits().maxAttempts());
+    }
+
+    @Test
+    void environmentGoesFirst() throws Exception {
+        NodeConfig config = NodeConfig.parse(SOUND.getBytes(StandardCharsets.UTF_8), Map.of("GW_NAME", "n9",
+            "GW_LISTEN", "127.0.0.1:77", "GW_CONFIG", "x"));
+        assertEquals("n9", config.name());
+        assertEquals(77, config.listen().getPort());
+    }
+
+    @Test
+    void whatIsWrongIsNamedInOneLine() {
+        names("GW_CONFIG", "[1]");
+        names("GW_CONFIG", SOUND.substring(0, 200));
+        names("listen", SOUND.replace("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"everywhere\""));
+        names("discovery", SOUND.replace("\"discovery\":\"127.0.0.1:9\",", ""));
+        names("seed", SOUND.replace("\"0f\"", "\"xyz\""));
+        names("limits.sockets", SOUND.replace("500", "5"));
+        names("settings", SOUND.replace("\"settings\"", "\"setting\""));
+        names("limits.maxAttempts", SOUND.replace("\"maxAttempts\":4", "\"maxAttempts\":\"many\""));
+        names("siblings", SOUND.replace("\"siblings\":1", "\"siblings\":0"));
+        names("classes", SOUND.replace("\"classes\":", "\"klasses\":"));
+        names("list", SOUND.replace("\"ready\"", "\"unheard-of\""));
+        assertThrows(NodeConfig.InvalidConfigException.class, () -> NodeConfig.load(Map.of()));
+        assertThrows(NodeConfig.InvalidConfigException.class,
+            () -> NodeConfig.load(Map.of("GW_CONFIG", "/nowhere/at/all")));
+    }
+
+    @Test
+    void bornTimesConvertByOneRule() {
+        assertEquals(0, Clock.ofMillis(0));
+        assertEquals(1_700_000_000_123_000_000L, Clock.ofMillis(1_700_000_000_123L));
+        long before = System.currentTimeMillis();
+        long now = new Clock().now() / 1_000_000;
+        assertTrue(now >= before && now <= System.currentTimeMillis(), "the clock is not Unix time");
+    }
+}
--- /dev/null
+++ b/src/test/java/onyxpaddle/node/DiscoveryTest.java
@@ -0,0 +1,148 @@
+package onyxpaddle.node;
+
+import static onyxpaddle.node.Harness.get;
+import static onyxpaddle.node.Harness.host;
+import static onyxpaddle.node.Harness.ok;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import onyxpaddle.node.Harness.Message;
+import onyxpaddle.node.Harness.Peer;
+import onyxpaddle.node.Harness.Wire;
+import org.junit.jupiter.api.Test;
+
+/** The list of servers: watched, asked for, and survived when it goes wrong. */
+class DiscoveryTest {
+    private static final String GET_ALL = "GET /v1/endpoints HTTP/1.1";
+
+    /** A discovery whose calls a test answers one by one. */
+    private static final class Calls implements AutoCloseable {
+        final BlockingQueue<String> calls = new LinkedBlockingQueue<>();
+        final BlockingQueue<String> answers = new LinkedBlockingQueue<>();
+        final Peer peer = new Peer(wire -> {
+            for (Message m = wire.message(); m != null; m = wire.message()) {
+                calls.add(m.firstLine());
+                String answer = answers.take();
+                if (answer.equals("reset")) {
+                    wire.reset();
+                } else {
+                    wire.write(answer);
+                }
+            }
+        });
+
+        Calls() throws IOException {
+        }
+
+        String next() throws InterruptedException {
+            String call = calls.poll(Harness.WAIT_S, TimeUnit.SECONDS);
+            assertTrue(call != null, "no call came");
+            return call;
+        }
+
+        void list(int seq, boolean whole, String hosts) {
+            answers.add(ok("{\"seq\":" + seq + ",\"whole\":" + whole + ",\"hosts\":[" + hosts + "]}"));
+        }
+
+        @Override
+        public void close() throws IOException {
+            peer.close();
+        }
+    }
+
+    private static void servedBy(Harness h, String id, String body) throws IOException {
+        assertEquals(body, h.ask(get(id)).text());
+    }
+
+    @Test
+    void watchGoesOnAndItsNewsIsFollowed() throws Exception {
+        try (Calls calls = new Calls(); Peer a = Peer.answering(m -> ok("a")); Peer b = Peer.answering(m -> ok("b"));
+                Harness h = Harness.start(Harness.config(calls.peer.address(), host("a", a.address()), 1024, ""))) {
+            assertEquals("GET /v1/endpoints?after=0&wait_ms=0 HTTP/1.1", calls.next());
+            calls.list(7, false, host("b", b.address()) + "," + host("a", a.address(), "draining"));
+            assertEquals("GET /v1/endpoints?after=7&wait_ms=2000 HTTP/1.1", calls.next());
+            for (int i = 0; i < 8; i++) {
+                servedBy(h, "x" + i, "b");
+            }
+            // A whole list that leaves a server out says that it is gone.
+            calls.list(9, true, host("a", a.address()));
+            calls.next();
+            for (int i = 0; i < 8; i++) {
+                servedBy(h, "y" + i, "a");
+            }
+        }
+    }
+
+    @Test
+    void idleConnectionsToADrainingServerAreClosed() throws Exception {
+        try (Calls calls = new Calls(); Peer a = Peer.answering(m -> ok("a"));
+                Harness h = Harness.start(Harness.config(calls.peer.address(), host("a", a.address()), 1024, ""))) {
+            servedBy(h, "1", "a");
+            a.connection();
+            calls.next();
+            calls.list(2, false, host("a", a.address(), "draining"));
+            calls.next();
+            assertEquals(1, a.requests.size());
+            // The server's reading thread ends with the connection.
+            while (a.serving() > 0) {
+                Thread.onSpinWait();
+            }
+        }
+    }
+
+    @Test
+    void failuresLeaveTheListInForce() throws Exception {
+        try (Calls calls = new Calls(); Peer a = Peer.answering(m -> ok("a"));
+                Harness h = Harness.start(Harness.config(calls.peer.address(), host("a", a.address()), 1024, ""))) {
+            String[] failures = {"reset", "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", "garbage\r\n\r\n"};
+            for (String failure : failures) {
+                assertTrue(calls.next().contains("after=0&"));
+                calls.answers.add(failure);
+            }
+            // A list that makes no sense, or changes to another list than the one held, call for the whole list.
+            assertTrue(calls.next().contains("after=0&"));
+            calls.answers.add(ok("{\"seq\":3,\"whole\":true,\"hosts\":[{\"host\":5}]}"));
+            assertEquals(GET_ALL, calls.next());
+            servedBy(h, "1", "a");
+            calls.list(4, true, host("a", a.address()));
+            assertTrue(calls.next().contains("after=4&"));
+            calls.list(2, false, "");
+            assertEquals(GET_ALL, calls.next());
+            servedBy(h, "2", "a");
+        }
+    }
+
+    @Test
+    void whereItIsAskedTheModuleSubscribesAgainAfterAFailure() throws Exception {
+        try (Calls calls = new Calls(); Peer a = Peer.answering(m -> ok("a"));
+                Harness h = Harness.start(Harness.config(calls.peer.address(), host("a", a.address()), 1024,
+                    ",\"membershipMode\":\"ask\""))) {
+            servedBy(h, "1", "a");
+            calls.next();
+            calls.answers.add("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+            calls.next();
+            calls.list(2, true, host("a", a.address()));
+            assertTrue(calls.next().contains("after=2&"), "the watch goes on");
+        }
+    }
+
+    @Test
+    void unsoundListsAreErrors() throws Exception {
+        String[] unsound = {"", "[]", "{}", "{\"seq\":1}", "{\"seq\":1,\"hosts\":{}}", "{\"seq\":\"x\",\"hosts\":[]}",
+            "{\"seq\":1,\"whole\":true,\"hosts\":[]} {}", "{\"seq\":1,\"whole\":true,\"hosts\":[",
+            "{\"seq\":1,\"whole\":true,\"hosts\":[" + host("a", "nowhere:80") + "]}",
+            "{\"seq\":1,\"whole\":true,\"hosts\":[" + host("a", "127.0.0.1:99999") + "]}"};
+        for (String json : unsound) {
+            assertThrows(IOException.class, () -> Roster.parse(json.getBytes(StandardCharsets.UTF_8)), json);
+        }
+        Roster gone = Roster.parse(("{\"seq\":1,\"whole\":false,\"more\":[1],\"hosts\":[{\"host\":\"a\",\"health\":"
+            + "\"gone\",\"dial\":null}]}").getBytes(StandardCharsets.UTF_8));
+        assertEquals(1, gone.hosts().size());
+    }
+}
--- /dev/null
+++ b/src/test/java/onyxpaddle/node/OutcomeTest.java
@@ -0,0 +1,215 @@
+package onyxpaddle.node;
+
+import static onyxpaddle.node.Harness.get;
+import static onyxpaddle.node.Harness.ok;
+import static onyxpaddle.node.Harness.post;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import onyxpaddle.node.Harness.Message;
+import onyxpaddle.node.Harness.Peer;
+import onyxpaddle.node.Harness.Wire;
+import org.junit.jupiter.api.Test;
+
+/** Each row of the protocol's table of outcomes, told by whether an unsafe request is tried again. */
+class OutcomeTest {
+    /** Two servers that share a script: whichever is asked first plays it, the next request is served. */
+    private static Message firstThen(Harness.Behaviour first, AtomicInteger asked) throws Exception {
+        Harness.Behaviour both = wire -> {
+            for (String head = wire.head(); head != null; head = wire.head()) {
+                wire.bytes(4);
+                if (asked.incrementAndGet() == 1) {
+                    first.serve(wire);
+                } else {
+                    wire.write(ok("done"));
+                }
+            }
+        };
+        try (Harness h = Harness.start(new Peer(both), new Peer(both))) {
+            return h.ask(post("a1", "body"));
+        }
+    }
+
+    private static void failsUntried(String answer, boolean close) throws Exception {
+        AtomicInteger asked = new AtomicInteger();
+        Message m = firstThen(wire -> {
+            wire.write(answer);
+            if (close) {
+                wire.close();
+            }
+        }, asked);
+        assertEquals(1, asked.get(), "an unsafe request that may have run was sent again");
+        assertEquals(502, m.status());
+    }
+
+    @Test
+    void servedBodyComesBackUnchanged() throws Exception {
+        try (Harness h = Harness.start(Peer.answering(m -> ok(m.firstLine() + m.field("x-trace-id"))))) {
+            Message m = h.ask(get("77"));
+            assertEquals(200, m.status());
+            assertEquals("GET /read/x?q=1 HTTP/1.177", m.text());
+        }
+    }
+
+    @Test
+    void requestGoesOnWithItsBodyKeyAndTimeLeft() throws Exception {
+        Peer server = Peer.answering(m -> ok("x"));
+        try (Harness h = Harness.start(server)) {
+            h.ask(post("a1", "hello").replace("Host:", "Idempotency-Key: k7\r\nConnection: X-Hop\r\nX-Hop: 1\r\nHost:"));
+            Message seen = server.next();
+            assertEquals("POST /book HTTP/1.1", seen.firstLine());
+            assertEquals("hello", seen.text());
+            assertEquals("k7", seen.field("idempotency-key"));
+            assertEquals("a1", seen.field("x-trace-id"));
+            assertNull(seen.field("x-hop"), "a header of the client's connection alone was passed on");
+            double left = Double.parseDouble(seen.field("x-expires-in"));
+            assertTrue(left > 0 && left <= 8, "time left " + left);
+        }
+    }
+
+    @Test
+    void errorMayHaveRun() throws Exception {
+        failsUntried("HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", false);
+    }
+
+    @Test
+    void bareUnavailableMayHaveRunAndIsNoRefusal() throws Exception {
+        failsUntried("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", false);
+    }
+
+    @Test
+    void unknownMarkOnUnavailableProvesNothing() throws Exception {
+        failsUntried("HTTP/1.1 503 Busy\r\nX-Never-Ran: 0\r\nContent-Length: 0\r\n\r\n", false);
+    }
+
+    @Test
+    void connectionThatEndsUnansweredMayHaveRun() throws Exception {
+        failsUntried("", true);
+    }
+
+    @Test
+    void answerCutShortMayHaveRunAndIsNotServed() throws Exception {
+        failsUntried("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", true);
+    }
+
+    @Test
+    void chunkedAnswerCutShortMayHaveRunAndIsNotServed() throws Exception {
+        failsUntried("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", true);
+    }
+
+    @Test
+    void garbageMayHaveRun() throws Exception {
+        failsUntried("?!\0 not http at all\r\n\r\n", true);
+    }
+
+    @Test
+    void turnedAwayIsTriedElsewhere() throws Exception {
+        for (String status : new String[] {"503 Full", "504 Over"}) {
+            AtomicInteger asked = new AtomicInteger();
+            Message m = firstThen(wire -> wire.write("HTTP/1.1 " + status
+                + "\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n"), asked);
+            assertEquals(2, asked.get());
+            assertEquals("done", m.text());
+        }
+    }
+
+    @Test
+    void refusedConnectionIsTriedElsewhere() throws Exception {
+        String nobody;
+        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            nobody = "127.0.0.1:" + s.getLocalPort();
+        }
+        Peer server = Peer.answering(m -> ok("done"));
+        String hosts = Harness.host("dead", nobody) + "," + Harness.host("live", server.address());
+        try (Peer discovery = Harness.discovery(hosts);
+                Harness h = Harness.start(Harness.config(discovery.address(), hosts, 1024, ""))) {
+            for (int i = 0; i < 10; i++) {
+                assertEquals("done", h.ask(post("b" + i, "x")).text());
+            }
+        }
+        server.close();
+    }
+
+    @Test
+    void brokenSafeAnswerIsTriedAgainAndServedWhole() throws Exception {
+        AtomicInteger asked = new AtomicInteger();
+        Harness.Behaviour half = wire -> {
+            while (wire.head() != null) {
+                if (asked.incrementAndGet() == 1) {
+                    wire.write("HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\nhalf");
+                    wire.close();
+                } else {
+                    wire.write(ok("whole"));
+                }
+            }
+        };
+        try (Harness h = Harness.start(new Peer(half), new Peer(half))) {
+            assertEquals("whole", h.ask(get("c1")).text());
+        }
+    }
+
+    @Test
+    void silentServerIsGivenUpAtTheDeadlineByClosingItsConnection() throws Exception {
+        Peer server = new Peer(wire -> wire.head());
+        try (Harness h = Harness.start(server)) {
+            Message m = h.ask(post("d1", "x").replace("8.000", "0.300"));
+            assertEquals(504, m.status());
+            Wire wire = server.connection();
+            wire.bytes(1);
+            assertTrue(wire.ends(), "the connection of an attempt that timed out stays open");
+        }
+    }
+
+    /**
+     * Guards against losing unsafe requests to connections that a server closes, or lets die, while they are
+     * idle: what is written to such a one may have run. Only a connection used a moment ago is used again.
+     */
+    @Test
+    void unsafeRequestIsNotWrittenToAConnectionIdleForLong() throws Exception {
+        Peer server = Peer.answering(m -> ok("x"));
+        try (Harness h = Harness.start(server)) {
+            h.ask(post("e1", "x"));
+            server.connection();
+            TimeUnit.NANOSECONDS.sleep(2 * ServerConnections.FRESH);
+            h.ask(post("e2", "x"));
+            server.connection();
+            assertEquals(2, server.requests.size());
+        }
+    }
+
+    @Test
+    void safeRequestUsesAnIdleConnectionAgain() throws Exception {
+        Peer server = Peer.answering(m -> ok("x"));
+        try (Harness h = Harness.start(server)) {
+            for (int i = 0; i < 5; i++) {
+                assertEquals(200, h.ask(get("f" + i)).status());
+            }
+            server.connection();
+            assertTrue(server.connections.isEmpty(), "a connection for each request");
+        }
+    }
+
+    /**
+     * Guards against servers that drop a connection as soon as it is used again, however short it was idle: once
+     * that is seen, what must not be repeated goes on new connections.
+     */
+    @Test
+    void unsafeRequestGetsANewConnectionOnceAReusedOneHasBroken() throws Exception {
+        Peer server = new Peer(wire -> {
+            wire.head();
+            wire.write(ok("x"));
+            wire.head();
+            wire.close();
+        });
+        try (Harness h = Harness.start(server)) {
+            assertEquals(200, h.ask(get("g1")).status());
+            assertEquals(200, h.ask(get("g2")).status(), "tried again on a new connection");
+            assertEquals(200, h.ask(post("g3", "x")).status());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/onyxpaddle/node/PackagedNodeIT.java
@@ -0,0 +1,80 @@
+package onyxpaddle.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import onyxpaddle.node.Harness.Message;
+import onyxpaddle.node.Harness.Peer;
+import onyxpaddle.node.Harness.Wire;
+import org.junit.jupiter.api.Test;
+
+/** Starts the real node by the command that the deploy file names. */
+class PackagedNodeIT {
+    private static ProcessBuilder run() throws Exception {
+        String command = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
+            .filter(line -> line.startsWith("run = ")).findFirst().orElseThrow()
+            .replaceFirst("^run = \"", "").replaceFirst("\"$", "");
+        return new ProcessBuilder("/bin/sh", "-c", command);
+    }
+
+    @Test
+    void servesAndEndsByItselfOnSigterm() throws Exception {
+        Path config = Files.createTempFile("weldlink", ".json");
+        Peer server = Peer.answering(m -> Harness.ok("hello"));
+        String hosts = Harness.host("s", server.address());
+        try (Peer discovery = Harness.discovery(hosts)) {
+            Files.write(config, Harness.config(discovery.address(), hosts, 1024, ""));
+            ProcessBuilder run = run();
+            run.environment().put("GW_CONFIG", config.toString());
+            Process process = run.start();
+            try (BufferedReader log = process.errorReader(StandardCharsets.UTF_8)) {
+                Matcher listens = Pattern.compile("listens on /127\\.0\\.0\\.1:(\\d+)").matcher(log.readLine());
+                assertTrue(listens.find());
+                int port = Integer.parseInt(listens.group(1));
+                assertEquals("hello", ask(port, Harness.get("1")).text());
+                process.destroy();
+                // Connections that still come are answered, and told to close.
+                assertEquals(200, ask(port, Harness.get("2")).status());
+                assertEquals(128 + 15, process.waitFor());
+            } finally {
+                process.destroyForcibly();
+            }
+        } finally {
+            Files.delete(config);
+            server.close();
+        }
+    }
+
+    private static Message ask(int port, String request) throws Exception {
+        try (Wire wire = new Wire(new Socket(InetAddress.getLoopbackAddress(), port))) {
+            wire.write(request);
+            return wire.message();
+        }
+    }
+
+    @Test
+    void wrongConfigurationEndsTheStartInOneLine() throws Exception {
+        ProcessBuilder run = run();
+        run.environment().put("GW_CONFIG", "/nowhere/at/all");
+        Process process = run.start();
+        String said = new String(process.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertEquals(78, process.waitFor());
+        assertTrue(said.startsWith("weldlink: GW_CONFIG: ") && said.lines().count() == 1, said);
+    }
+
+    @Test
+    void unknownCommandPrintsUsage() throws Exception {
+        Process process = new ProcessBuilder("java", "-jar", "target/weldlink.jar", "dance").start();
+        String said = new String(process.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertEquals(64, process.waitFor());
+        assertEquals("usage: weldlink serve | adapter\n", said);
+    }
+}
