Give a descriptor back when its connection or dial has closed

Checked: a node with room for twelve server connections failed request 13, for closed connections and for refused dials alike (both tests fail without the change). Ruled out: leaked sockets (the real ones are few), memory (flat). Lost answers on bad servers and the crash on SIGHUP stay, they have other causes.

--- a/src/main/java/onyxpaddle/node/ServerConnections.java
+++ b/src/main/java/onyxpaddle/node/ServerConnections.java
@@ -37,6 +37,7 @@
     private final long mostIdle;
     private final Map<String, Peer> peers = new HashMap<>();
     private final Set<ServerConnection> open = new HashSet<>();
+    /** Dials under way and connections that are open. */
     private int descriptors;
     private long waryUntil;
 
@@ -136,6 +137,9 @@
         }
         descriptors++;
         ChannelFuture dial = bootstrap.connect(peer.address);
+        // The one place that gives a descriptor back: a dial that fails or is given up ends here like a connection.
+        // Without it the budget is spent for good after so many dials, and each later one fails unsent.
+        dial.channel().closeFuture().addListener(f -> descriptors--);
         attempt.dial = dial;
         dial.addListener(f -> {
             if (attempt.ended) {
--- a/src/test/java/onyxpaddle/node/OutcomeTest.java
+++ b/src/test/java/onyxpaddle/node/OutcomeTest.java
@@ -212,4 +212,40 @@
             assertEquals(200, h.ask(post("g3", "x")).status());
         }
     }
+
+    /** A node with room for twelve connections to servers once failed all dials after the twelfth. */
+    @Test
+    void connectionsThatHaveClosedMakeRoomForFurtherDials() throws Exception {
+        Peer server = Peer.answering(m -> ok("x").replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n"));
+        try (Harness h = Harness.start(100, server)) {
+            for (int i = 0; i < 40; i++) {
+                assertEquals(200, h.ask(post("h" + i, "x")).status(), "request " + i);
+            }
+        }
+    }
+
+    @Test
+    void dialsThatFailedMakeRoomForFurtherDials() throws Exception {
+        int port;
+        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = s.getLocalPort();
+        }
+        String hosts = Harness.host("s", "127.0.0.1:" + port);
+        try (Peer discovery = Harness.discovery(hosts);
+                Harness h = Harness.start(Harness.config(discovery.address(), hosts, 100, ""))) {
+            for (int i = 0; i < 4; i++) {
+                assertEquals(503, h.ask(post("i" + i, "x")).status(), "request " + i);
+            }
+            try (ServerSocket back = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                back.setSoTimeout(Harness.WAIT_S * 1000);
+                Wire client = h.client();
+                client.write(post("j", "x"));
+                try (Wire server = new Wire(back.accept())) {
+                    assertEquals("POST /book HTTP/1.1", server.message().firstLine());
+                    server.write(ok("back"));
+                    assertEquals("back", client.message().text());
+                }
+            }
+        }
+    }
 }
