Take up a new configuration on SIGHUP instead of ending

At fault: Node installed no handler, so the runtime's own shut the process down; nothing read the file again or could move the watch. Now the file is read again off the loop, its discovery goes before the one that the environment still names, the old call is given up at once and the new address is asked for the whole list. A file that makes no sense is logged and changes nothing. Checked by a loopback test, and on the packaged node by the signal itself.

--- a/src/main/java/onyxpaddle/node/Discovery.java
+++ b/src/main/java/onyxpaddle/node/Discovery.java
@@ -37,13 +37,15 @@
 
     private final EventLoop loop;
     private final Bootstrap bootstrap;
-    private final String host;
+    private InetSocketAddress address;
     private final boolean asked;
     private final Consumer<Roster> onList;
     private final Runnable onRefused;
     private Channel channel;
     private Future<?> timeout;
     private boolean calling;
+    /** The next call, where it waits for its time. */
+    private Future<?> planned;
     private long calledAt;
     private long seq;
     private boolean lost;
@@ -57,12 +59,11 @@
         this.seq = seq;
         this.onList = onList;
         this.onRefused = onRefused;
-        host = address.getAddress().getHostAddress() + ":" + address.getPort();
+        this.address = address;
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
             .option(ChannelOption.ALLOCATOR, allocator)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
-            .remoteAddress(address)
             .handler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel ch) {
@@ -89,14 +90,43 @@
         }
     }
 
+    /**
+     * From here on another address tells the list. The call to the old one is given up at once, as it may be held
+     * open for long and bring no news; the new one is asked for the whole list, as its versions need not go on from
+     * those of the old one. Until it answers the list held stays in force.
+     */
+    void moveTo(InetSocketAddress next) {
+        if (next.equals(address)) {
+            return;
+        }
+        Log.line("discovery: moves to " + next);
+        address = next;
+        lost = true;
+        failures = 0;
+        stopTimeout();
+        if (planned != null) {
+            planned.cancel(false);
+            planned = null;
+        }
+        Channel old = channel;
+        channel = null;
+        if (old != null) {
+            old.close();
+        }
+        if (calling) {
+            call();
+        }
+    }
+
     private void call() {
         calling = true;
+        planned = null;
         calledAt = System.nanoTime();
         if (channel != null && channel.isActive()) {
             write();
             return;
         }
-        ChannelFuture dial = bootstrap.connect();
+        ChannelFuture dial = bootstrap.connect(address);
         channel = dial.channel();
         dial.addListener(f -> {
             if (!f.isSuccess()) {
@@ -114,7 +144,8 @@
         String uri = "/v1/endpoints" + (lost ? "" : "?after=" + seq + "&wait_ms=" + wait);
         DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri,
             Unpooled.EMPTY_BUFFER);
-        request.headers().set(HttpHeaderNames.HOST, host);
+        request.headers().set(HttpHeaderNames.HOST,
+            address.getAddress().getHostAddress() + ":" + address.getPort());
         Channel on = channel;
         timeout = loop.schedule(() -> failed(on, "no answer"), WAIT_MS + ANSWER_LATE_MS, TimeUnit.MILLISECONDS);
         on.writeAndFlush(request);
@@ -141,7 +172,7 @@
 
     private void later(int millis) {
         calling = true;
-        loop.schedule(this::call, millis, TimeUnit.MILLISECONDS);
+        planned = loop.schedule(this::call, millis, TimeUnit.MILLISECONDS);
     }
 
     private void stopTimeout() {
--- a/src/main/java/onyxpaddle/node/Node.java
+++ b/src/main/java/onyxpaddle/node/Node.java
@@ -6,6 +6,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import onyxpaddle.Balancing.ListKind;
@@ -36,6 +37,8 @@
     public static void main() {
         try {
             Node node = start(NodeConfig.load(System.getenv()));
+            // Without a handler of its own the runtime ends the process on this signal.
+            sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> node.reload(System.getenv()));
             Runtime.getRuntime().addShutdownHook(new Thread(node::drain, "drain"));
         } catch (NodeConfig.InvalidConfigException e) {
             System.err.println("weldlink: " + e.getMessage());
@@ -90,6 +93,19 @@
         return bound;
     }
 
+    /**
+     * Takes up from a new configuration what may change while the node runs: the address of discovery. One that
+     * makes no sense changes nothing. Reads the file, so not to be called on the loop.
+     */
+    void reload(Map<String, String> environment) {
+        try {
+            NodeConfig config = NodeConfig.reload(environment);
+            group.next().execute(() -> discovery.moveTo(config.discovery()));
+        } catch (NodeConfig.InvalidConfigException e) {
+            Log.line("the new configuration is not taken up: " + e.getMessage());
+        }
+    }
+
     /** Ends as planned: returns when all that was taken is answered. */
     void drain() {
         Log.line("draining");
--- a/src/main/java/onyxpaddle/node/NodeConfig.java
+++ b/src/main/java/onyxpaddle/node/NodeConfig.java
@@ -40,6 +40,16 @@
         return parse(json, environment);
     }
 
+    /**
+     * Reads a file that was replaced while the node runs. The environment still names the discovery of the start,
+     * so for that the file's word holds.
+     */
+    static NodeConfig reload(Map<String, String> environment) throws InvalidConfigException {
+        Map<String, String> without = new HashMap<>(environment);
+        without.remove("GW_DISCOVERY");
+        return load(without);
+    }
+
     /** The environment's name and addresses go before the file's, which hold the same. */
     static NodeConfig parse(byte[] json, Map<String, String> environment) throws InvalidConfigException {
         Map<String, String> flat = new HashMap<>();
--- a/src/test/java/onyxpaddle/node/DiscoveryTest.java
+++ b/src/test/java/onyxpaddle/node/DiscoveryTest.java
@@ -9,6 +9,9 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -132,6 +135,31 @@
         }
     }
 
+    /** Guards against a node that follows the discovery of its start for good, or gives up a list for a bad file. */
+    @Test
+    void newConfigurationMovesTheWatchAndABadOneChangesNothing() throws Exception {
+        Path file = Files.createTempFile("weldlink", ".json");
+        try (Calls old = new Calls(); Calls next = new Calls(); Peer a = Peer.answering(m -> ok("a"));
+                Peer b = Peer.answering(m -> ok("b"));
+                Harness h = Harness.start(Harness.config(old.peer.address(), host("a", a.address()), 1024, ""))) {
+            Map<String, String> environment = Map.of("GW_CONFIG", file.toString(), "GW_DISCOVERY", old.peer.address());
+            old.next();
+            Files.writeString(file, "{\"discovery\":");
+            h.node.reload(environment);
+            servedBy(h, "1", "a");
+            Files.write(file, Harness.config(next.peer.address(), "", 1024, ""));
+            h.node.reload(environment);
+            assertEquals(GET_ALL, next.next(), "the whole list, as versions of another discovery say nothing");
+            assertTrue(old.peer.connection().ends(), "the old watch goes on");
+            servedBy(h, "2", "a");
+            next.list(3, true, host("b", b.address()));
+            assertTrue(next.next().contains("after=3&"));
+            servedBy(h, "3", "b");
+        } finally {
+            Files.delete(file);
+        }
+    }
+
     @Test
     void unsoundListsAreErrors() throws Exception {
         String[] unsound = {"", "[]", "{}", "{\"seq\":1}", "{\"seq\":1,\"hosts\":{}}", "{\"seq\":\"x\",\"hosts\":[]}",
--- a/src/test/java/onyxpaddle/node/PackagedNodeIT.java
+++ b/src/test/java/onyxpaddle/node/PackagedNodeIT.java
@@ -40,6 +40,13 @@
                 assertTrue(listens.find());
                 int port = Integer.parseInt(listens.group(1));
                 assertEquals("hello", ask(port, Harness.get("1")).text());
+                Files.writeString(config, "nonsense");
+                hangUp(process);
+                assertTrue(log.readLine().startsWith("the new configuration is not taken up: GW_CONFIG"));
+                assertEquals("hello", ask(port, Harness.get("1b")).text());
+                Files.write(config, Harness.config("127.0.0.1:9", hosts, 1024, ""));
+                hangUp(process);
+                assertEquals("discovery: moves to /127.0.0.1:9", log.readLine());
                 process.destroy();
                 // Connections that still come are answered, and told to close.
                 assertEquals(200, ask(port, Harness.get("2")).status());
@@ -53,6 +60,10 @@
         }
     }
 
+    private static void hangUp(Process process) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
+    }
+
     private static Message ask(int port, String request) throws Exception {
         try (Wire wire = new Wire(new Socket(InetAddress.getLoopbackAddress(), port))) {
             wire.write(request);
