Count an answer whose head or length can't be right as spoilt

At fault: the response decoder takes a line without a colon for an empty header, and ServerConnection.head let any length through; bodies hold at most 64 KiB. HeadLines now looks through the head's lines, and a longer answer (stated or not) of a class that is not streamed is a failed attempt that may have run. Streamed classes pass long answers on as before.

--- /dev/null
+++ b/src/main/java/onyxpaddle/node/HeadLines.java
@@ -0,0 +1,72 @@
+package onyxpaddle.node;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.util.ByteProcessor;
+
+/**
+ * Looks through the bytes of an answer's head for a line that is no header. The decoder takes such a line for a header
+ * without a value, so an answer whose head can't be read would pass for a sound one. Heads of 1xx answers may stand
+ * ahead.
+ */
+final class HeadLines implements ByteProcessor {
+    private static final int STATUS_CLASS_AT = "HTTP/1.1 ".length();
+
+    private boolean reading;
+    private boolean sound;
+    private boolean statusLine;
+    private boolean interim;
+    private boolean colon;
+    private int length;
+
+    /** A request goes out: the next byte is the first of its answer's head. */
+    void expect() {
+        reading = true;
+        sound = true;
+        nextHead();
+    }
+
+    private void nextHead() {
+        statusLine = true;
+        interim = false;
+        nextLine();
+    }
+
+    private void nextLine() {
+        colon = false;
+        length = 0;
+    }
+
+    /** Whether all of the head that has come so far can be read. */
+    boolean sound(ByteBuf bytes) {
+        if (reading) {
+            bytes.forEachByte(this);
+        }
+        return sound;
+    }
+
+    @Override
+    public boolean process(byte value) {
+        if (value == '\r') {
+            return true;
+        }
+        if (value != '\n') {
+            interim |= statusLine && length == STATUS_CLASS_AT && value == '1';
+            // A line that begins with a blank goes on with the header before it.
+            colon |= value == ':' || length == 0 && (value == ' ' || value == '\t');
+            length++;
+            return true;
+        }
+        if (statusLine) {
+            statusLine = false;
+        } else if (length > 0) {
+            sound &= colon;
+        } else if (interim) {
+            nextHead();
+            return sound;
+        } else {
+            reading = false;
+        }
+        nextLine();
+        return sound && reading;
+    }
+}
--- a/src/main/java/onyxpaddle/node/ServerConnection.java
+++ b/src/main/java/onyxpaddle/node/ServerConnection.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -22,7 +23,10 @@
 import onyxpaddle.Balancing.Outcome;
 
 final class ServerConnection extends ChannelInboundHandlerAdapter {
-    /** Answers up to this are held whole, so that a broken one can be tried again; longer ones pass through. */
+    /**
+     * Answers up to this are held whole, so that a broken one can be tried again. Longer ones pass through where their
+     * class is streamed; elsewhere no body is longer, and one that claims to be is spoilt.
+     */
     static final int HELD = 64 * 1024;
     /**
      * An answer that does not state its length is held for this long and this much only: if it turns out to be a
@@ -42,6 +46,7 @@
     private int uses;
     private long startedAt;
     private final ServerConnections all;
+    private final HeadLines headLines = new HeadLines();
     /** The attempt that waits for its outcome, or null. */
     private Attempt attempt;
     private boolean exchanging;
@@ -62,6 +67,21 @@
         this.channel = channel;
     }
 
+    /** Looks at an answer's head before it is parsed. */
+    ChannelHandler headWatch() {
+        return new ChannelInboundHandlerAdapter() {
+            @Override
+            public void channelRead(ChannelHandlerContext context, Object message) {
+                if (exchanging && message instanceof ByteBuf bytes && !headLines.sound(bytes)) {
+                    ReferenceCountUtil.release(message);
+                    spoilt();
+                } else {
+                    context.fireChannelRead(message);
+                }
+            }
+        };
+    }
+
     boolean usable() {
         return channel.isActive() && !exchanging;
     }
@@ -83,6 +103,7 @@
         nextPiece = 0;
         progressAt = all.clock.now();
         startedAt = progressAt;
+        headLines.expect();
         uses++;
         Exchange x = next.exchange;
         HttpHeaders headers = Headers.forServer(x, next.until - progressAt);
@@ -158,8 +179,7 @@
 
     private void head(HttpResponse response) {
         if (response.decoderResult().isFailure()) {
-            end(Outcome.ERROR);
-            close();
+            spoilt();
             return;
         }
         int status = response.status().code();
@@ -171,10 +191,14 @@
         reusable = HttpUtil.isKeepAlive(response);
         if (status == 200) {
             long length = HttpUtil.getContentLength(response, -1L);
+            if (length > HELD && attempt != null && !attempt.exchange.requestClass.streamed()) {
+                spoilt();
+                return;
+            }
             answer = new ServerAnswer(response.headers().get(HttpHeaderNames.CONTENT_TYPE), length,
                 new Body(all.budget, length));
             passOn = false;
-            if (length < 0) {
+            if (length < 0 && attempt != null && attempt.exchange.requestClass.streamed()) {
                 ServerAnswer held = answer;
                 channel.eventLoop().schedule(() -> heldLongEnough(held), HELD_UNSIZED_FOR, TimeUnit.NANOSECONDS);
             }
@@ -206,6 +230,12 @@
     }
 
     private void hold(ByteBuf bytes) {
+        if (!attempt.exchange.requestClass.streamed()) {
+            if (answer.body().size() + bytes.readableBytes() > HELD || !answer.body().add(bytes)) {
+                spoilt();
+            }
+            return;
+        }
         int most = answer.length() < 0 ? HELD_UNSIZED : HELD;
         boolean fits = answer.length() <= HELD && answer.body().size() + bytes.readableBytes() <= most;
         if (!fits || passOn || !answer.body().add(bytes)) {
@@ -241,6 +271,12 @@
         }
     }
 
+    /** The answer can't be used. The request has run for all that is known, and the connection is of no further use. */
+    private void spoilt() {
+        end(Outcome.ERROR);
+        close();
+    }
+
     private void complete() {
         ClientConnection to = sink;
         sink = null;
--- a/src/main/java/onyxpaddle/node/ServerConnections.java
+++ b/src/main/java/onyxpaddle/node/ServerConnections.java
@@ -151,7 +151,7 @@
                 attempt.dial = null;
                 ServerConnection c = new ServerConnection(this, attempt.server, dial.channel());
                 open.add(c);
-                dial.channel().pipeline().addLast(c);
+                dial.channel().pipeline().addFirst(c.headWatch()).addLast(c);
                 c.start(attempt);
             }
         });
--- a/src/test/java/onyxpaddle/node/OutcomeTest.java
+++ b/src/test/java/onyxpaddle/node/OutcomeTest.java
@@ -107,6 +107,43 @@
         failsUntried("?!\0 not http at all\r\n\r\n", true);
     }
 
+    /** The decoder lets a header line without a colon pass; served, it was an answer that no server made. */
+    @Test
+    void headWithALineThatIsNoHeaderMayHaveRunAndIsNotServed() throws Exception {
+        failsUntried("HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 4\r\n\r\nbody", false);
+        failsUntried("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\nnone\r\n\r\nbody", false);
+    }
+
+    /** No body is longer than 64 KiB: what claims to be would keep its client waiting for an end that never comes. */
+    @Test
+    void answerLongerThanAnyMayHaveRunAndIsNotPassedOn() throws Exception {
+        failsUntried("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nbody", false);
+        failsUntried("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n" + "x".repeat(65_537), false);
+    }
+
+    @Test
+    void interimAnswersAndFoldedHeadersAreNoHindrance() throws Exception {
+        String ahead = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n";
+        try (Harness h = Harness.start(Peer.answering(m -> ahead
+                + ok("x").replace("\r\n\r\n", "\r\nX-Note: a\r\n b\r\n\r\n")))) {
+            for (int i = 0; i < 3; i++) {
+                assertEquals("x", h.ask(get("k" + i)).text());
+            }
+        }
+    }
+
+    /** Guards against taking what comes behind an answer for the answer to the next request. */
+    @Test
+    void whatComesBehindAnAnswerEndsItsConnection() throws Exception {
+        Peer server = Peer.answering(m -> ok(m.field("x-trace-id")) + ok("not yours"));
+        try (Harness h = Harness.start(server)) {
+            for (int i = 0; i < 5; i++) {
+                assertEquals("l" + i, h.ask(get("l" + i)).text());
+            }
+            assertEquals(5, server.connections.size());
+        }
+    }
+
     @Test
     void turnedAwayIsTriedElsewhere() throws Exception {
         for (String status : new String[] {"503 Full", "504 Over"}) {
