Let answers move the admission limit again

At fault: RatioBalancer.admit says that as many are let in as are answered within their aim, but admitLimit was set once from the list (at least 8, 6 for each server over the nodes) and never again. Now an answer within its aim raises the limit by 0.1 while the limit is in use, one past its aim lowers it by 0.9, so that it rests where one answer in ten is late; an attempt that times out at a server that has answered others since counts as late, one at a silent server does not. The first guess is the old one and a change of the list no longer takes back what was learned. Checked: two module tests, both fail without the change. Ruled out: the wait before a refusal and the order of those that wait (as their comments say).

--- a/src/main/java/onyxpaddle/RatioBalancer.java
+++ b/src/main/java/onyxpaddle/RatioBalancer.java
@@ -37,6 +37,8 @@
     private static final double COLD_SHARE = 1.0;
     private static final double OPEN_TO_ALL = 0.7;
     private static final double FIRST_LIMIT = 8;
+    /** The share of answers past their aim at which the limit stays where it is. */
+    private static final double LATE_SHARE = 0.1;
     private static final int SPAN = 12;
     private static final int SHARERS = 4;
     /** How much slower a server of another zone reads, for each unit of the price of crossing. */
@@ -60,6 +62,8 @@
     private double usualWorth;
     private double admitted;
     private double admitLimit = FIRST_LIMIT;
+    /** Whether answers have moved the limit from its first guess. */
+    private boolean learning;
     private double[] chance = new double[16];
     private double retriesSaved = MOST_RETRIES_SAVED / 2;
     private long armedFor = Long.MAX_VALUE;
@@ -149,7 +153,8 @@
         ready.sort(Comparator.<Server>comparingInt(s -> s.place).thenComparing(s -> s.id));
         around.clear();
         around.addAll(ready);
-        if (admitLimit == FIRST_LIMIT) {
+        if (!learning) {
+            // A guess to start from; what answers tell is not thrown away when the list changes.
             admitLimit = Math.max(FIRST_LIMIT, 6.0 * ready.size() / settings.siblings());
         }
         chance = chance.length < ready.size() ? new double[ready.size() * 2] : chance;
@@ -344,7 +349,7 @@
             return;
         }
         ClassUse use = classes.getOrDefault(arrival.requestClass(), unknownClass);
-        Request r = new Request(arrival, use, worth(arrival, use), dueCount++);
+        Request r = new Request(arrival, use, worth(arrival, use), dueCount++, now);
         requests.put(r.id, r);
         usualRank = usualRank == 0 ? r.rank : usualRank + USUAL_STEP * (r.rank - usualRank);
         retriesSaved = Math.min(MOST_RETRIES_SAVED, retriesSaved + RETRY_SHARE);
@@ -417,6 +422,7 @@
             case OK -> {
                 attempt.server.heardAt = now;
                 if (!attempt.streaming) {
+                    learnLimit(r);
                     served(r, attempt, ended.latency());
                 }
             }
@@ -424,7 +430,14 @@
                 attempt.server.heardAt = now;
                 failed(attempt.server, ended.outcome());
             }
-            case TIMED_OUT, CONNECT_FAILED, RESET -> failed(attempt.server, ended.outcome());
+            case TIMED_OUT -> {
+                if (attempt.server.heardAt > attempt.sentAt) {
+                    // Its server answers others: it is late, not lost with a server that says nothing.
+                    learnLimit(r);
+                }
+                failed(attempt.server, ended.outcome());
+            }
+            case CONNECT_FAILED, RESET -> failed(attempt.server, ended.outcome());
             case CANCELLED -> {
                 // A copy was sent because this one overstayed: a time-out in all but name.
                 if (attempt.overstayed) {
@@ -486,6 +499,7 @@
             attempt.streaming = true;
             attempt.server.out.remove(attempt);
             attempt.server.heardAt = now;
+            learnLimit(r);
             served(r, attempt, first.latency());
             close(r);
         }
@@ -514,6 +528,23 @@
         plan(r.wakeAt, r);
     }
 
+    /**
+     * Moves the limit with an answer: up by a little for one within its aim while the limit is in use, down
+     * by much for a late one. A limit that stays at its first guess turns away what idle servers could do.
+     */
+    private void learnLimit(Request r) {
+        if (!r.admitted || r.use.about.aim() == 0) {
+            return;
+        }
+        if (now - r.arrivedAt > r.use.about.aim()) {
+            learning = true;
+            admitLimit = Math.max(FIRST_LIMIT, admitLimit - (1 - LATE_SHARE));
+        } else if (admitted >= OPEN_TO_ALL * admitLimit / 2) {
+            learning = true;
+            admitLimit += LATE_SHARE;
+        }
+    }
+
     private boolean hasRoom(Request r) {
         return admitted < (r.rank >= usualRank ? admitLimit : OPEN_TO_ALL * admitLimit);
     }
@@ -726,6 +757,7 @@
         final double rank;
         final long number;
         final ClassUse use;
+        final long arrivedAt;
         final long deadline;
         final double cost;
         final List<Attempt> attempts = new ArrayList<>(2);
@@ -737,7 +769,8 @@
         boolean admitted;
         long wakeAt;
 
-        Request(Arrival arrival, ClassUse use, double worth, long number) {
+        Request(Arrival arrival, ClassUse use, double worth, long number, long arrivedAt) {
+            this.arrivedAt = arrivedAt;
             this.worth = worth;
             this.rank = worth / use.usual(arrival.cost());
             this.number = number;
--- a/src/test/java/onyxpaddle/AdmissionTest.java
+++ b/src/test/java/onyxpaddle/AdmissionTest.java
@@ -68,6 +68,44 @@
         assertTrue(dear * 3 >= letIn.size(), dear + " dear of " + letIn);
     }
 
+    /** How many are let in at once, after each of so many turns in which all that were let in took this long. */
+    private static int limitAfter(Node node, int turns, long latency) {
+        int limit = 0;
+        for (int turn = 0; turn <= turns; turn++) {
+            List<String> sent = new ArrayList<>();
+            for (int i = 0; i < 500; i++) {
+                String id = "t" + turn + "." + i;
+                if (sent(node.arrive(id, "cheap")) == null) {
+                    node.handle(new ClientGone(id));
+                    break;
+                }
+                sent.add(id);
+            }
+            limit = sent.size();
+            node.now += latency;
+            sent.forEach(id -> node.end(id, 0, "a", Outcome.OK, latency));
+        }
+        return limit;
+    }
+
+    /** A limit that stayed at its first guess turned away a third of the requests of nodes with idle servers. */
+    @Test
+    void limitGrowsWhileAnswersComeWithinTheirAim() {
+        Node node = new Node(Node.settings(CHEAP), 1).list("a", "b");
+        int first = limitAfter(node, 0, 20 * MS);
+        assertTrue(limitAfter(node, 40, 20 * MS) >= 2 * first);
+        node.list("a", "b", "c");
+        assertTrue(limitAfter(node, 0, 20 * MS) >= 2 * first, "what was learned is lost with a change of the list");
+    }
+
+    @Test
+    void limitFallsWhileAnswersComePastTheirAim() {
+        Node node = new Node(Node.settings(CHEAP), 1).list("a", "b");
+        int grown = limitAfter(node, 40, 20 * MS);
+        int fallen = limitAfter(node, 3, 500 * MS);
+        assertTrue(fallen > 0 && fallen <= grown / 2, fallen + " after " + grown);
+    }
+
     @Test
     void tenantBeyondItsQuotaWaitsBehindTheOthers() {
         Settings s = Node.settings(CHEAP);
