Call a request that never got its last byte out "never ran" when its time is up

At fault: both branches of Dispatcher.expire gave TIMED_OUT, so a request whose last byte the node still held counted as one that may have run: it was failed (504), though a refusal would have done no harm. Checked: a loopback test whose server takes a head and no body; 504 without the change, 503 with it.

--- a/src/main/java/onyxpaddle/node/Dispatcher.java
+++ b/src/main/java/onyxpaddle/node/Dispatcher.java
@@ -126,9 +126,10 @@
 
     private void expire(Attempt attempt) {
         if (!attempt.ended) {
+            // What has its last byte still here has not begun anywhere, and may be refused instead of failed.
             boolean written = attempt.written;
             servers.giveUp(attempt);
-            ended(attempt, written ? Outcome.TIMED_OUT : Outcome.TIMED_OUT, null);
+            ended(attempt, written ? Outcome.TIMED_OUT : Outcome.CONNECT_FAILED, null);
         }
     }
 
--- a/src/test/java/onyxpaddle/node/StreamTest.java
+++ b/src/test/java/onyxpaddle/node/StreamTest.java
@@ -148,6 +148,24 @@
         }
     }
 
+    /** A request whose last byte the node still holds has run nowhere: it is refused, so that it may be tried again. */
+    @Test
+    void requestNotWrittenWhollyInTimeIsRefused() throws Exception {
+        byte[] body = noise(24 << 20);
+        CountDownLatch over = new CountDownLatch(1);
+        Peer server = new Peer(wire -> {
+            wire.head();
+            over.await();
+        });
+        try (Harness h = Harness.start(server)) {
+            Wire wire = h.client();
+            wire.write(post("1", "").replace("Length: 0", "Length: " + body.length).replace("8.000", "0.500"));
+            wire.write(body);
+            assertEquals(503, wire.message().status());
+            over.countDown();
+        }
+    }
+
     /** Guards against ending a body twice where writing one piece makes room for the next on the spot. */
     @Test
     void bodyOfAFewPiecesIsEndedOnce() throws Exception {
