Move the admission limit out of the balancer into a class of its own

Need: the limit's rules are about to be mended one by one and want tests of their own. Change: AdmissionLimit holds limit and count; RatioBalancer asks it. No change of behaviour.

--- /dev/null
+++ b/src/main/java/onyxpaddle/AdmissionLimit.java
@@ -0,0 +1,57 @@
+package onyxpaddle;
+
+/**
+ * How many requests a node lets in at once, learned from how its answers come: the limit stays where a tenth of them
+ * miss their aim. The last part of it is kept for requests worth more than usual.
+ */
+final class AdmissionLimit {
+    private static final double OPEN_TO_ALL = 0.7;
+    private static final double LEAST = 8;
+    /** What one server is guessed to take at once before any answer has come. */
+    private static final double FIRST_PER_SERVER = 6;
+    /** The share of answers past their aim at which the limit stays where it is. */
+    private static final double LATE_SHARE = 0.1;
+
+    private double limit = LEAST;
+    private int admitted;
+    /** Whether answers have moved the limit from its first guess. */
+    private boolean learning;
+
+    boolean hasRoom(boolean worthMore) {
+        return admitted < (worthMore ? limit : OPEN_TO_ALL * limit);
+    }
+
+    void enter() {
+        admitted++;
+    }
+
+    void leave() {
+        admitted--;
+    }
+
+    /** The list has changed: so many servers are ready, shared with so many nodes. */
+    void servers(int ready, int siblings) {
+        if (!learning) {
+            // A guess to start from; what answers tell is not thrown away when the list changes.
+            limit = Math.max(LEAST, FIRST_PER_SERVER * ready / siblings);
+        }
+    }
+
+    /**
+     * Moves the limit with an answer: up by a little for one within its aim while the limit is in use, down by much
+     * for a late one. A limit that stays at its first guess turns away what idle servers could do.
+     */
+    void answered(boolean late) {
+        if (late) {
+            lower();
+        } else if (admitted >= OPEN_TO_ALL * limit / 2) {
+            learning = true;
+            limit += LATE_SHARE;
+        }
+    }
+
+    private void lower() {
+        learning = true;
+        limit = Math.max(LEAST, limit - (1 - LATE_SHARE));
+    }
+}
--- a/src/main/java/onyxpaddle/RatioBalancer.java
+++ b/src/main/java/onyxpaddle/RatioBalancer.java
@@ -35,10 +35,6 @@
     private static final double MOST_RETRIES_SAVED = 10;
     /** How much of a warm server's served calls, scaled by its present capacity, a cold one is sent. */
     private static final double COLD_SHARE = 1.0;
-    private static final double OPEN_TO_ALL = 0.7;
-    private static final double FIRST_LIMIT = 8;
-    /** The share of answers past their aim at which the limit stays where it is. */
-    private static final double LATE_SHARE = 0.1;
     private static final int SPAN = 12;
     private static final int SHARERS = 4;
     /** How much slower a server of another zone reads, for each unit of the price of crossing. */
@@ -60,10 +56,7 @@
     private final Map<String, Quota> quotas = new HashMap<>();
     private double usualRank;
     private double usualWorth;
-    private double admitted;
-    private double admitLimit = FIRST_LIMIT;
-    /** Whether answers have moved the limit from its first guess. */
-    private boolean learning;
+    private final AdmissionLimit limit = new AdmissionLimit();
     private double[] chance = new double[16];
     private double retriesSaved = MOST_RETRIES_SAVED / 2;
     private long armedFor = Long.MAX_VALUE;
@@ -153,10 +146,7 @@
         ready.sort(Comparator.<Server>comparingInt(s -> s.place).thenComparing(s -> s.id));
         around.clear();
         around.addAll(ready);
-        if (!learning) {
-            // A guess to start from; what answers tell is not thrown away when the list changes.
-            admitLimit = Math.max(FIRST_LIMIT, 6.0 * ready.size() / settings.siblings());
-        }
+        limit.servers(ready.size(), settings.siblings());
         chance = chance.length < ready.size() ? new double[ready.size() * 2] : chance;
     }
 
@@ -514,7 +504,7 @@
     private void admit(Request r) {
         if (settings.tier() > 0 || hasRoom(r) && (waiting.isEmpty() || r.compareTo(waiting.peek()) < 0)) {
             r.admitted = true;
-            admitted++;
+            limit.enter();
             dispatch(r);
             return;
         }
@@ -528,25 +518,14 @@
         plan(r.wakeAt, r);
     }
 
-    /**
-     * Moves the limit with an answer: up by a little for one within its aim while the limit is in use, down
-     * by much for a late one. A limit that stays at its first guess turns away what idle servers could do.
-     */
     private void learnLimit(Request r) {
-        if (!r.admitted || r.use.about.aim() == 0) {
-            return;
-        }
-        if (now - r.arrivedAt > r.use.about.aim()) {
-            learning = true;
-            admitLimit = Math.max(FIRST_LIMIT, admitLimit - (1 - LATE_SHARE));
-        } else if (admitted >= OPEN_TO_ALL * admitLimit / 2) {
-            learning = true;
-            admitLimit += LATE_SHARE;
+        if (r.admitted && r.use.about.aim() > 0) {
+            limit.answered(now - r.arrivedAt > r.use.about.aim());
         }
     }
 
     private boolean hasRoom(Request r) {
-        return admitted < (r.rank >= usualRank ? admitLimit : OPEN_TO_ALL * admitLimit);
+        return limit.hasRoom(r.rank >= usualRank);
     }
 
     private void admitWaiting() {
@@ -554,7 +533,7 @@
             Request r = waiting.poll();
             r.waits = false;
             r.admitted = true;
-            admitted++;
+            limit.enter();
             dispatch(r);
         }
     }
@@ -592,7 +571,7 @@
         if (!r.done) {
             r.done = true;
             if (r.admitted) {
-                admitted--;
+                limit.leave();
             } else if (r.waits) {
                 waiting.remove(r);
             }
