Grow the admission limit only while it is in use

Cause: an answer in time raised the limit from a third of it in use on, so calm time took it to 34 a node where servers of both nodes hold 45 at once. Change: answers raise it only while all but the part kept for dearer requests is in use.

--- a/src/main/java/onyxpaddle/AdmissionLimit.java
+++ b/src/main/java/onyxpaddle/AdmissionLimit.java
@@ -39,12 +39,13 @@
 
     /**
      * Moves the limit with an answer: up by a little for one within its aim while the limit is in use, down by much
-     * for a late one. A limit that stays at its first guess turns away what idle servers could do.
+     * for a late one. A limit that stays at its first guess turns away what idle servers could do; one that grows
+     * while little of it is used says nothing of what they can do (RFC 7661 for the like in TCP).
      */
     void answered(boolean late) {
         if (late) {
             lower();
-        } else if (admitted >= OPEN_TO_ALL * limit / 2) {
+        } else if (admitted >= OPEN_TO_ALL * limit) {
             learning = true;
             limit += LATE_SHARE;
         }
--- /dev/null
+++ b/src/test/java/onyxpaddle/AdmissionLimitTest.java
@@ -0,0 +1,46 @@
+package onyxpaddle;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+class AdmissionLimitTest {
+    private final AdmissionLimit limit = new AdmissionLimit();
+
+    /** How many of those worth most are let in at once; leaves the count as it was. */
+    private int room() {
+        int entered = 0;
+        while (limit.hasRoom(true)) {
+            limit.enter();
+            entered++;
+        }
+        for (int i = 0; i < entered; i++) {
+            limit.leave();
+        }
+        return entered;
+    }
+
+    private void enter(int count) {
+        for (int i = 0; i < count; i++) {
+            limit.enter();
+        }
+    }
+
+    /** Calm time with a third of the limit in use raised it to twice of what the servers could do at once. */
+    @Test
+    void growsOnlyWhileItIsInUse() {
+        limit.servers(4, 1);
+        int before = room();
+        enter(before / 2);
+        for (int i = 0; i < 1000; i++) {
+            limit.answered(false);
+        }
+        assertEquals(before / 2, room(), "half of it was never used");
+        enter(before - before / 2);
+        for (int i = 0; i < 100; i++) {
+            limit.answered(false);
+        }
+        assertTrue(room() > 0, "all of it is used, and all answers are in time");
+    }
+}
--- /dev/null
+++ b/src/test/java/onyxpaddle/sim/SimulatedServer.java
@@ -0,0 +1,131 @@
+package onyxpaddle.sim;
+
+import java.util.ArrayDeque;
+import java.util.PriorityQueue;
+import onyxpaddle.Balancing.Outcome;
+
+/**
+ * A server of one core that shares it evenly among the requests it works on: each waits on others for a while first
+ * and holds its slot meanwhile. Beyond its slots a few wait; beyond those it turns requests away. What is called off
+ * is worked on all the same.
+ */
+final class SimulatedServer {
+    final String id;
+    final String zone;
+    final long startedAt;
+    private final Clockwork clock;
+    private final double speed;
+    private final int slots;
+    private final int queue;
+    private final long coldSpan;
+    private final double coldShare;
+    private final ArrayDeque<Job> waiting = new ArrayDeque<>();
+    private final PriorityQueue<Job> working = new PriorityQueue<>();
+    private int held;
+    /** Work done for each request on the core since the start, in nanoseconds of the usual speed. */
+    private double done;
+    private long doneAt;
+    private int tick;
+    boolean draining;
+    boolean gone;
+    /** Answers with an error at once, as a server with a broken disk would. */
+    boolean broken;
+    long turnedAway;
+
+    private final class Job implements Comparable<Job> {
+        final double work;
+        final long elsewhere;
+        final Reply reply;
+        double doneWhen;
+
+        Job(double work, long elsewhere, Reply reply) {
+            this.work = work;
+            this.elsewhere = elsewhere;
+            this.reply = reply;
+        }
+
+        @Override
+        public int compareTo(Job other) {
+            return Double.compare(doneWhen, other.doneWhen);
+        }
+    }
+
+    interface Reply {
+        void ended(Outcome outcome);
+    }
+
+    SimulatedServer(Clockwork clock, String id, String zone, long startedAt, double speed, int slots, int queue,
+            long coldSpan, double coldShare) {
+        this.clock = clock;
+        this.id = id;
+        this.zone = zone;
+        this.startedAt = startedAt;
+        this.speed = speed;
+        this.slots = slots;
+        this.queue = queue;
+        this.coldSpan = coldSpan;
+        this.coldShare = coldShare;
+        doneAt = clock.now();
+    }
+
+    /** {@code work}: nanoseconds of a core of the usual speed; {@code elsewhere}: what it waits on others. */
+    void take(double work, long elsewhere, Reply reply) {
+        if (gone) {
+            reply.ended(Outcome.CONNECT_FAILED);
+        } else if (broken) {
+            reply.ended(Outcome.ERROR);
+        } else if (draining || held >= slots && waiting.size() >= queue) {
+            turnedAway++;
+            reply.ended(Outcome.FULL);
+        } else {
+            waiting.add(new Job(work, elsewhere, reply));
+            begin();
+        }
+    }
+
+    private void begin() {
+        while (held < slots && !waiting.isEmpty()) {
+            Job job = waiting.poll();
+            held++;
+            clock.after(job.elsewhere, () -> {
+                catchUp();
+                job.doneWhen = done + job.work;
+                working.add(job);
+                plan();
+            });
+        }
+    }
+
+    private double rate() {
+        double warm = startedAt == 0 || coldSpan == 0 ? 1
+            : Math.min(1, coldShare + (1 - coldShare) * (clock.now() - startedAt) / coldSpan);
+        return speed * warm / Math.max(1, working.size());
+    }
+
+    private void catchUp() {
+        done += (clock.now() - doneAt) * rate();
+        doneAt = clock.now();
+    }
+
+    private void plan() {
+        int planned = ++tick;
+        if (!working.isEmpty()) {
+            clock.after((long) Math.ceil(Math.max(0, working.peek().doneWhen - done) / rate()), () -> {
+                if (planned == tick) {
+                    finish();
+                }
+            });
+        }
+    }
+
+    private void finish() {
+        catchUp();
+        while (!working.isEmpty() && working.peek().doneWhen <= done + 1) {
+            Job job = working.poll();
+            held--;
+            job.reply.ended(Outcome.OK);
+        }
+        begin();
+        plan();
+    }
+}
