--- a/src/main/java/onyxpaddle/AdmissionLimit.java
+++ b/src/main/java/onyxpaddle/AdmissionLimit.java
@@ -51,6 +51,14 @@
         }
     }
 
+    /**
+     * A request was turned away as full by a second server in a row: more is let in than they hold. By one server
+     * alone it may be chance, and the next has room.
+     */
+    void turnedAwayAgain() {
+        lower();
+    }
+
     private void lower() {
         learning = true;
         limit = Math.max(LEAST, limit - (1 - LATE_SHARE));
--- a/src/main/java/onyxpaddle/RatioBalancer.java
+++ b/src/main/java/onyxpaddle/RatioBalancer.java
@@ -419,6 +419,9 @@
             case ERROR, FULL -> {
                 attempt.server.heardAt = now;
                 failed(attempt.server, ended.outcome());
+                if (ended.outcome() == Outcome.FULL && r.admitted && attempt.number == 1) {
+                    limit.turnedAwayAgain();
+                }
             }
             case TIMED_OUT -> {
                 if (attempt.server.heardAt > attempt.sentAt) {
--- a/src/test/java/onyxpaddle/AdmissionTest.java
+++ b/src/test/java/onyxpaddle/AdmissionTest.java
@@ -106,6 +106,22 @@
         assertTrue(fallen > 0 && fallen <= grown / 2, fallen + " after " + grown);
     }
 
+    /** Servers that are full say so long before answers are late; the limit once heard only the latter. */
+    @Test
+    void limitFallsWhenOneServerAfterAnotherIsFull() {
+        Node node = new Node(Node.settings(CHEAP), 1).list("a", "b");
+        int grown = limitAfter(node, 40, 20 * MS);
+        for (int i = 0; i < grown; i++) {
+            String id = "full" + i;
+            String first = sent(node.arrive(id, "cheap"));
+            String second = sent(node.end(id, 0, first, Outcome.FULL, MS));
+            node.end(id, 1, second, Outcome.FULL, MS);
+            node.handle(new ClientGone(id));
+        }
+        int fallen = limitAfter(node, 0, 20 * MS);
+        assertTrue(fallen <= grown / 2, fallen + " after " + grown);
+    }
+
     @Test
     void tenantBeyondItsQuotaWaitsBehindTheOthers() {
         Settings s = Node.settings(CHEAP);
