Scale the admission limit with the servers that are ready

Cause: the limit is learned over the servers of the moment. A release takes two of four away at once, and the rest was let in what four had taught; when they came back, the limit taught by two held them idle for seconds. Change: a change of the list scales it by the ready servers' sizes.

--- a/src/main/java/onyxpaddle/AdmissionLimit.java
+++ b/src/main/java/onyxpaddle/AdmissionLimit.java
@@ -16,6 +16,8 @@
     private int admitted;
     /** Whether answers have moved the limit from its first guess. */
     private boolean learning;
+    /** The strength of the servers that the limit stands for. */
+    private double learnedOver = 1;
 
     boolean hasRoom(boolean worthMore) {
         return admitted < (worthMore ? limit : OPEN_TO_ALL * limit);
@@ -29,11 +31,18 @@
         admitted--;
     }
 
-    /** The list has changed: so many servers are ready, shared with so many nodes. */
-    void servers(int ready, int siblings) {
+    /**
+     * The list has changed: so many servers are ready, shared with so many nodes, and together they have this
+     * strength (the sum of their sizes). What was learned over more or fewer servers holds in proportion.
+     */
+    void servers(int ready, double strength, int siblings) {
         if (!learning) {
-            // A guess to start from; what answers tell is not thrown away when the list changes.
             limit = Math.max(LEAST, FIRST_PER_SERVER * ready / siblings);
+        } else if (strength > 0) {
+            limit = Math.max(LEAST, limit * strength / learnedOver);
+        }
+        if (strength > 0) {
+            learnedOver = strength;
         }
     }
 
--- a/src/main/java/onyxpaddle/RatioBalancer.java
+++ b/src/main/java/onyxpaddle/RatioBalancer.java
@@ -146,7 +146,7 @@
         ready.sort(Comparator.<Server>comparingInt(s -> s.place).thenComparing(s -> s.id));
         around.clear();
         around.addAll(ready);
-        limit.servers(ready.size(), settings.siblings());
+        limit.servers(ready.size(), ready.stream().mapToDouble(s -> s.size).sum(), settings.siblings());
         chance = chance.length < ready.size() ? new double[ready.size() * 2] : chance;
     }
 
--- a/src/test/java/onyxpaddle/AdmissionLimitTest.java
+++ b/src/test/java/onyxpaddle/AdmissionLimitTest.java
@@ -30,7 +30,7 @@
     /** Calm time with a third of the limit in use raised it to twice of what the servers could do at once. */
     @Test
     void growsOnlyWhileItIsInUse() {
-        limit.servers(4, 1);
+        limit.servers(4, 4, 1);
         int before = room();
         enter(before / 2);
         for (int i = 0; i < 1000; i++) {
@@ -43,4 +43,28 @@
         }
         assertTrue(room() > 0, "all of it is used, and all answers are in time");
     }
+
+    private void learn(int answers, boolean late) {
+        int filled = room();
+        enter(filled);
+        for (int i = 0; i < answers; i++) {
+            limit.answered(late);
+        }
+        for (int i = 0; i < filled; i++) {
+            limit.leave();
+        }
+    }
+
+    /** A release that took two of four servers left a limit that four had taught. */
+    @Test
+    void whatWasLearnedHoldsInProportionToTheServersThatAreReady() {
+        limit.servers(4, 4, 1);
+        learn(200, false);
+        int overFour = room();
+        limit.servers(2, 2, 1);
+        assertEquals(overFour / 2, room(), 1);
+        limit.servers(0, 0, 1);
+        limit.servers(4, 4, 1);
+        assertEquals(overFour, room(), 1, "a list that was empty for a moment");
+    }
 }
