Double a fresh node's admission limit with each round trip until servers show enough

Cause: a node back from a restart starts at a limit of 12 for two nodes' share, and is the only one while the next restart runs: 113 to 225 requests a second refused while its servers stood half idle, as each answer in time raised the limit by a tenth (traces, seconds 18 to 20). Change: slow start. Until a first server is full or an answer takes half its aim, each raises it by one.

--- a/src/main/java/onyxpaddle/AdmissionLimit.java
+++ b/src/main/java/onyxpaddle/AdmissionLimit.java
@@ -16,6 +16,8 @@
     private int admitted;
     /** Whether answers have moved the limit from its first guess. */
     private boolean learning;
+    /** Whether nothing has yet told that servers have enough. */
+    private boolean starting = true;
     /** The strength of the servers that the limit stands for. */
     private double learnedOver = 1;
 
@@ -47,22 +49,32 @@
     }
 
     /**
-     * Moves the limit with an answer: up by a little for one within its aim while the limit is in use, down by much
-     * for a late one. A limit that stays at its first guess turns away what idle servers could do; one that grows
-     * while little of it is used says nothing of what they can do (RFC 7661 for the like in TCP).
+     * Moves the limit with an answer that took {@code taken} and is wanted within {@code aim}: up by a little for one
+     * in time while the limit is in use, down by much for a late one. A limit that stays at its first guess turns
+     * away what idle servers could do; one that grows while little of it is used says nothing of what they can do
+     * (RFC 7661 for the like in TCP).
+     *
+     * <p>A node that has just started guesses low, and may be the only one: until the first sign that servers have
+     * enough, each answer raises it by one, so that it doubles with each round trip (slow start, RFC 5681 section
+     * 3.1). An answer that took half its aim is such a sign, as one turned away as full is.
      */
-    void answered(boolean late) {
-        if (late) {
+    void answered(long taken, long aim) {
+        starting &= 2 * taken < aim;
+        if (taken > aim) {
             lower();
         } else if (admitted >= OPEN_TO_ALL * limit) {
             learning = true;
-            limit += LATE_SHARE;
+            limit += starting ? 1 : LATE_SHARE;
         }
     }
 
+    /** A server turned a request away as full: by one alone it may be chance, and the next has room. */
+    void turnedAway() {
+        starting = false;
+    }
+
     /**
-     * A request was turned away as full by a second server in a row: more is let in than they hold. By one server
-     * alone it may be chance, and the next has room.
+     * A request was turned away as full by a second server in a row: more is let in than they hold.
      */
     void turnedAwayAgain() {
         lower();
--- a/src/main/java/onyxpaddle/RatioBalancer.java
+++ b/src/main/java/onyxpaddle/RatioBalancer.java
@@ -419,8 +419,11 @@
             case ERROR, FULL -> {
                 attempt.server.heardAt = now;
                 failed(attempt.server, ended.outcome());
-                if (ended.outcome() == Outcome.FULL && r.admitted && attempt.number == 1) {
-                    limit.turnedAwayAgain();
+                if (ended.outcome() == Outcome.FULL && r.admitted) {
+                    limit.turnedAway();
+                    if (attempt.number == 1) {
+                        limit.turnedAwayAgain();
+                    }
                 }
             }
             case TIMED_OUT -> {
@@ -523,7 +526,7 @@
 
     private void learnLimit(Request r) {
         if (r.admitted && r.use.about.aim() > 0) {
-            limit.answered(now - r.arrivedAt > r.use.about.aim());
+            limit.answered(now - r.arrivedAt, r.use.about.aim());
         }
     }
 
--- a/src/test/java/onyxpaddle/AdmissionLimitTest.java
+++ b/src/test/java/onyxpaddle/AdmissionLimitTest.java
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.Test;
 
 class AdmissionLimitTest {
+    private static final long AIM = 600;
     private final AdmissionLimit limit = new AdmissionLimit();
 
     /** How many of those worth most are let in at once; leaves the count as it was. */
@@ -34,21 +35,21 @@
         int before = room();
         enter(before / 2);
         for (int i = 0; i < 1000; i++) {
-            limit.answered(false);
+            inTime();
         }
         assertEquals(before / 2, room(), "half of it was never used");
         enter(before - before / 2);
         for (int i = 0; i < 100; i++) {
-            limit.answered(false);
+            inTime();
         }
         assertTrue(room() > 0, "all of it is used, and all answers are in time");
     }
 
-    private void learn(int answers, boolean late) {
+    private void learn(int answers) {
         int filled = room();
         enter(filled);
         for (int i = 0; i < answers; i++) {
-            limit.answered(late);
+            inTime();
         }
         for (int i = 0; i < filled; i++) {
             limit.leave();
@@ -59,7 +60,7 @@
     @Test
     void whatWasLearnedHoldsInProportionToTheServersThatAreReady() {
         limit.servers(4, 4, 1);
-        learn(200, false);
+        learn(200);
         int overFour = room();
         limit.servers(2, 2, 1);
         assertEquals(overFour / 2, room(), 1);
@@ -67,4 +68,42 @@
         limit.servers(4, 4, 1);
         assertEquals(overFour, room(), 1, "a list that was empty for a moment");
     }
+
+    private void inTime() {
+        limit.answered(AIM * 3 / 4, AIM);
+    }
+
+    /** A node back from a restart was the only one for a second, and turned half of the requests away. */
+    @Test
+    void doublesWithEachRoundTripUntilServersShowThatTheyHaveEnough() {
+        limit.servers(4, 4, 2);
+        int first = room();
+        quick(first);
+        assertEquals(2 * first, room(), "a round trip later");
+        limit.turnedAway();
+        quick(first);
+        assertEquals(2 * first + first / 10, room(), 1, "a server was full");
+    }
+
+    @Test
+    void anAnswerThatTookHalfItsAimEndsTheSlowStart() {
+        limit.servers(4, 4, 2);
+        int first = room();
+        limit.answered(AIM / 2, AIM);
+        quick(first);
+        assertEquals(first + first / 10, room(), 1);
+    }
+
+    private void quick(int answers) {
+        int filled = room();
+        enter(filled);
+        for (int i = 0; i < answers; i++) {
+            limit.answered(AIM / 10, AIM);
+            // The next one comes in at once, so that all of it stays in use.
+            limit.enter();
+        }
+        for (int i = 0; i < filled + answers; i++) {
+            limit.leave();
+        }
+    }
 }
