--- a/src/test/java/onyxpaddle/AdmissionTest.java
+++ b/src/test/java/onyxpaddle/AdmissionTest.java
@@ -101,7 +101,7 @@
     @Test
     void limitFallsWhileAnswersComePastTheirAim() {
         Node node = new Node(Node.settings(CHEAP), 1).list("a", "b");
-        int grown = limitAfter(node, 3, 20 * MS);
+        int grown = limitAfter(node, 10, 20 * MS);
         int fallen = limitAfter(node, 3, 500 * MS);
         assertTrue(fallen > 0 && fallen <= grown / 2, fallen + " after " + grown);
     }
@@ -110,7 +110,7 @@
     @Test
     void limitFallsWhenOneServerAfterAnotherIsFull() {
         Node node = new Node(Node.settings(CHEAP), 1).list("a", "b");
-        int grown = limitAfter(node, 3, 20 * MS);
+        int grown = limitAfter(node, 10, 20 * MS);
         for (int i = 0; i < grown; i++) {
             String id = "full" + i;
             String first = sent(node.arrive(id, "cheap"));
