Give the project one name and a build of two modules, decision and node

Need: three names (weldhitch, weldlink, onyxpaddle) met a newcomer, and one flat package held all while large subsystems are about to move in.

Change: moves only. weldhitch.decision needs the JDK alone; weldhitch.node, weldhitch.wire and weldhitch.Main are the node, its jar weldhitch-node.jar. Deploy file, class list and tests name the new paths; tests are started from the top so that deploy/ is found.

--- a/src/main/java/onyxpaddle/AdmissionLimit.java
+++ b/decision/src/main/java/weldhitch/decision/AdmissionLimit.java
@@ -1,4 +1,4 @@
-package onyxpaddle;
+package weldhitch.decision;
 
 /**
  * How many requests a node lets in at once, learned from how its answers come: the limit stays where a tenth of them
--- a/src/main/java/onyxpaddle/Balancing.java
+++ b/decision/src/main/java/weldhitch/decision/Balancing.java
@@ -1,4 +1,4 @@
-package onyxpaddle;
+package weldhitch.decision;
 
 import java.util.List;
 import java.util.Objects;
--- a/src/main/java/onyxpaddle/FlatSettings.java
+++ b/decision/src/main/java/weldhitch/decision/FlatSettings.java
@@ -1,9 +1,9 @@
-package onyxpaddle;
+package weldhitch.decision;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import onyxpaddle.Balancing.*;
+import weldhitch.decision.Balancing.*;
 
 /**
  * Reads the settings of an instance from flat paths, such as {@code limits.maxAttempts}: the form in which the
--- a/src/main/java/onyxpaddle/RatioBalancer.java
+++ b/decision/src/main/java/weldhitch/decision/RatioBalancer.java
@@ -1,4 +1,4 @@
-package onyxpaddle;
+package weldhitch.decision;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -9,7 +9,7 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
-import onyxpaddle.Balancing.*;
+import weldhitch.decision.Balancing.*;
 
 /**
  * All decisions of a balancer node. Its settings, events and actions are in Balancing.java.
--- a/src/test/java/onyxpaddle/MembershipTest.java
+++ b/decision/src/test/java/weldhitch/decision/MembershipTest.java
@@ -1,15 +1,15 @@
-package onyxpaddle;
+package weldhitch.decision;
 
-import static onyxpaddle.Node.MS;
-import static onyxpaddle.Node.SECOND;
-import static onyxpaddle.Node.only;
-import static onyxpaddle.Node.sent;
+import static weldhitch.decision.Node.MS;
+import static weldhitch.decision.Node.SECOND;
+import static weldhitch.decision.Node.only;
+import static weldhitch.decision.Node.sent;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
-import onyxpaddle.Balancing.*;
+import weldhitch.decision.Balancing.*;
 import org.junit.jupiter.api.Test;
 
 class MembershipTest {
--- a/src/test/java/onyxpaddle/Node.java
+++ b/decision/src/test/java/weldhitch/decision/Node.java
@@ -1,9 +1,9 @@
-package onyxpaddle;
+package weldhitch.decision;
 
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import onyxpaddle.Balancing.*;
+import weldhitch.decision.Balancing.*;
 
 /** A module under test with made-up settings and a hand-moved clock. */
 final class Node {
--- a/src/test/java/onyxpaddle/SettingsTest.java
+++ b/decision/src/test/java/weldhitch/decision/SettingsTest.java
@@ -1,10 +1,10 @@
-package onyxpaddle;
+package weldhitch.decision;
 
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
-import onyxpaddle.Balancing.*;
+import weldhitch.decision.Balancing.*;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.function.Executable;
 
--- a/src/test/java/onyxpaddle/SourceLimitsTest.java
+++ b/decision/src/test/java/weldhitch/decision/SourceLimitsTest.java
@@ -1,4 +1,4 @@
-package onyxpaddle;
+package weldhitch.decision;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
--- a/src/test/java/onyxpaddle/SpanTest.java
+++ b/decision/src/test/java/weldhitch/decision/SpanTest.java
@@ -1,7 +1,7 @@
-package onyxpaddle;
+package weldhitch.decision;
 
-import static onyxpaddle.Node.MS;
-import static onyxpaddle.Node.sent;
+import static weldhitch.decision.Node.MS;
+import static weldhitch.decision.Node.sent;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -9,7 +9,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import onyxpaddle.Balancing.*;
+import weldhitch.decision.Balancing.*;
 import org.junit.jupiter.api.Test;
 
 class SpanTest {
--- a/src/test/java/onyxpaddle/ZoneTest.java
+++ b/decision/src/test/java/weldhitch/decision/ZoneTest.java
@@ -1,12 +1,12 @@
-package onyxpaddle;
+package weldhitch.decision;
 
-import static onyxpaddle.Node.MS;
-import static onyxpaddle.Node.sent;
+import static weldhitch.decision.Node.MS;
+import static weldhitch.decision.Node.sent;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
-import onyxpaddle.Balancing.*;
+import weldhitch.decision.Balancing.*;
 import org.junit.jupiter.api.Test;
 
 class ZoneTest {
--- a/src/test/java/onyxpaddle/sim/Clockwork.java
+++ b/decision/src/test/java/weldhitch/decision/sim/Clockwork.java
@@ -1,4 +1,4 @@
-package onyxpaddle.sim;
+package weldhitch.decision.sim;
 
 import java.util.PriorityQueue;
 
--- a/src/test/java/onyxpaddle/sim/Fleet.java
+++ b/decision/src/test/java/weldhitch/decision/sim/Fleet.java
@@ -1,12 +1,12 @@
-package onyxpaddle.sim;
+package weldhitch.decision.sim;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import onyxpaddle.Balancing.*;
-import onyxpaddle.sim.SimulatedNode.Answered;
+import weldhitch.decision.Balancing.*;
+import weldhitch.decision.sim.SimulatedNode.Answered;
 
 /**
  * A small site in simulated time: nodes that each run the module, servers that are modelled, and clients that retry
--- a/src/test/java/onyxpaddle/sim/RecoveryTest.java
+++ b/decision/src/test/java/weldhitch/decision/sim/RecoveryTest.java
@@ -1,14 +1,14 @@
-package onyxpaddle.sim;
+package weldhitch.decision.sim;
 
-import static onyxpaddle.sim.Fleet.MS;
-import static onyxpaddle.sim.Fleet.SECOND;
+import static weldhitch.decision.sim.Fleet.MS;
+import static weldhitch.decision.sim.Fleet.SECOND;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
 import java.util.function.LongFunction;
 import java.util.stream.LongStream;
-import onyxpaddle.sim.Fleet.Site;
+import weldhitch.decision.sim.Fleet.Site;
 import org.junit.jupiter.api.Test;
 
 /**
--- a/src/test/java/onyxpaddle/sim/SimulatedNode.java
+++ b/decision/src/test/java/weldhitch/decision/sim/SimulatedNode.java
@@ -1,12 +1,12 @@
-package onyxpaddle.sim;
+package weldhitch.decision.sim;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import onyxpaddle.Balancing.*;
-import onyxpaddle.RatioBalancer;
+import weldhitch.decision.Balancing.*;
+import weldhitch.decision.RatioBalancer;
 
 /** The module with the sockets left out: what {@code node.Dispatcher} does, in simulated time. */
 final class SimulatedNode {
--- a/src/test/java/onyxpaddle/sim/SimulatedServer.java
+++ b/decision/src/test/java/weldhitch/decision/sim/SimulatedServer.java
@@ -1,8 +1,8 @@
-package onyxpaddle.sim;
+package weldhitch.decision.sim;
 
 import java.util.ArrayDeque;
 import java.util.PriorityQueue;
-import onyxpaddle.Balancing.Outcome;
+import weldhitch.decision.Balancing.Outcome;
 
 /**
  * A server of one core that shares it evenly among the requests it works on: each waits on others for a while first
--- a/src/main/java/onyxpaddle/Main.java
+++ b/node/src/main/java/weldhitch/Main.java
@@ -1,4 +1,4 @@
-package onyxpaddle;
+package weldhitch;
 
 import java.io.IOException;
 
@@ -9,10 +9,10 @@
 
     public static void main(String[] args) throws IOException {
         switch (args.length == 1 ? args[0] : "") {
-            case "serve" -> onyxpaddle.node.Node.main();
-            case "adapter" -> onyxpaddle.wire.Main.main(args);
+            case "serve" -> weldhitch.node.Node.main();
+            case "adapter" -> weldhitch.wire.Main.main(args);
             default -> {
-                System.err.println("usage: weldlink serve | adapter");
+                System.err.println("usage: weldhitch serve | adapter");
                 System.exit(64);
             }
         }
--- a/src/main/java/onyxpaddle/node/Attempt.java
+++ b/node/src/main/java/weldhitch/node/Attempt.java
@@ -1,4 +1,4 @@
-package onyxpaddle.node;
+package weldhitch.node;
 
 import io.netty.channel.ChannelFuture;
 import io.netty.util.concurrent.Future;
--- a/src/main/java/onyxpaddle/node/Body.java
+++ b/node/src/main/java/weldhitch/node/Body.java
@@ -1,4 +1,4 @@
-package onyxpaddle.node;
+package weldhitch.node;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
--- a/src/main/java/onyxpaddle/node/Budget.java
+++ b/node/src/main/java/weldhitch/node/Budget.java
@@ -1,4 +1,4 @@
-package onyxpaddle.node;
+package weldhitch.node;
 
 final class Budget {
     private static final int RESERVED_DESCRIPTORS = 64;
--- a/src/main/java/onyxpaddle/node/ClientConnection.java
+++ b/node/src/main/java/weldhitch/node/ClientConnection.java
@@ -1,4 +1,4 @@
-package onyxpaddle.node;
+package weldhitch.node;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -24,7 +24,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
 import java.util.List;
-import onyxpaddle.Balancing.RequestClass;
+import weldhitch.decision.Balancing.RequestClass;
 
 final class ClientConnection extends ChannelInboundHandlerAdapter {
     private static final long SECOND = 1_000_000_000L;
--- a/src/main/java/onyxpaddle/node/ClientServer.java
+++ b/node/src/main/java/weldhitch/node/ClientServer.java
@@ -1,4 +1,4 @@
-package onyxpaddle.node;
+package weldhitch.node;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufAllocator;
@@ -23,8 +23,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.ToLongFunction;
-import onyxpaddle.Balancing.RequestClass;
-import onyxpaddle.Balancing.Settings;
+import weldhitch.decision.Balancing.RequestClass;
+import weldhitch.decision.Balancing.Settings;
 
 final class ClientServer {
     private static final int LONGEST_LINE = 8 * 1024;
--- a/src/main/java/onyxpaddle/node/Clock.java
+++ b/node/src/main/java/weldhitch/node/Clock.java
@@ -1,4 +1,4 @@
-package onyxpaddle.node;
+package weldhitch.node;
 
 final class Clock {
     private static final long MILLI = 1_000_000L;
--- a/src/main/java/onyxpaddle/node/Discovery.java
+++ b/node/src/main/java/weldhitch/node/Discovery.java
@@ -1,4 +1,4 @@
-package onyxpaddle.node;
+package weldhitch.node;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufAllocator;
--- a/src/main/java/onyxpaddle/node/Dispatcher.java
+++ b/node/src/main/java/weldhitch/node/Dispatcher.java
@@ -1,4 +1,4 @@
-package onyxpaddle.node;
+package weldhitch.node;
 
 import io.netty.channel.EventLoop;
 import java.util.ArrayDeque;
@@ -6,8 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import onyxpaddle.Balancing.*;
-import onyxpaddle.RatioBalancer;
+import weldhitch.decision.Balancing.*;
+import weldhitch.decision.RatioBalancer;
 
 final class Dispatcher {
     private static final long GUARD = 8_000_000L;
--- a/src/main/java/onyxpaddle/node/DrainPlan.java
+++ b/node/src/main/java/weldhitch/node/DrainPlan.java
@@ -1,4 +1,4 @@
-package onyxpaddle.node;
+package weldhitch.node;
 
 /**
  * What a node that is told to end still takes, and what it closes when: free of I/O, clock and threads; times are the
--- a/src/main/java/onyxpaddle/node/Exchange.java
+++ b/node/src/main/java/weldhitch/node/Exchange.java
@@ -1,11 +1,11 @@
-package onyxpaddle.node;
+package weldhitch.node;
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.util.concurrent.Future;
 import java.util.ArrayList;
 import java.util.List;
-import onyxpaddle.Balancing.RequestClass;
+import weldhitch.decision.Balancing.RequestClass;
 
 /** One request from a caller, from its head until its answer is given and no attempt is out any more. */
 final class Exchange {
--- a/src/main/java/onyxpaddle/node/Headers.java
+++ b/node/src/main/java/weldhitch/node/Headers.java
@@ -1,4 +1,4 @@
-package onyxpaddle.node;
+package weldhitch.node;
 
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpHeaderNames;
--- a/src/main/java/onyxpaddle/node/Log.java
+++ b/node/src/main/java/weldhitch/node/Log.java
@@ -1,4 +1,4 @@
-package onyxpaddle.node;
+package weldhitch.node;
 
 import java.util.concurrent.ArrayBlockingQueue;
 
--- a/src/main/java/onyxpaddle/node/Node.java
+++ b/node/src/main/java/weldhitch/node/Node.java
@@ -1,4 +1,4 @@
-package onyxpaddle.node;
+package weldhitch.node;
 
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.EventLoop;
@@ -9,8 +9,8 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import onyxpaddle.Balancing.ListKind;
-import onyxpaddle.RatioBalancer;
+import weldhitch.decision.Balancing.ListKind;
+import weldhitch.decision.RatioBalancer;
 
 /** The real node: one event loop that reads and writes all sockets and runs the module. */
 public final class Node {
@@ -41,10 +41,10 @@
             sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> node.reload(System.getenv()));
             Runtime.getRuntime().addShutdownHook(new Thread(node::drain, "drain"));
         } catch (NodeConfig.InvalidConfigException e) {
-            System.err.println("weldlink: " + e.getMessage());
+            System.err.println("weldhitch: " + e.getMessage());
             System.exit(EXIT_CONFIG);
         } catch (Exception e) {
-            System.err.println("weldlink: cannot start: " + e);
+            System.err.println("weldhitch: cannot start: " + e);
             System.exit(1);
         }
     }
--- a/src/main/java/onyxpaddle/node/NodeConfig.java
+++ b/node/src/main/java/weldhitch/node/NodeConfig.java
@@ -1,4 +1,4 @@
-package onyxpaddle.node;
+package weldhitch.node;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
@@ -9,8 +9,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import onyxpaddle.Balancing.Settings;
-import onyxpaddle.FlatSettings;
+import weldhitch.decision.Balancing.Settings;
+import weldhitch.decision.FlatSettings;
 
 /** What the node is told at its start: the environment and the file that {@code GW_CONFIG} names. */
 record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
--- a/src/main/java/onyxpaddle/node/Roster.java
+++ b/node/src/main/java/weldhitch/node/Roster.java
@@ -1,4 +1,4 @@
-package onyxpaddle.node;
+package weldhitch.node;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
@@ -10,8 +10,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import onyxpaddle.Balancing.ServerEntry;
-import onyxpaddle.Balancing.ServerState;
+import weldhitch.decision.Balancing.ServerEntry;
+import weldhitch.decision.Balancing.ServerState;
 
 /** A list of servers as discovery words it: the whole list, or the entries that changed. */
 record Roster(long seq, boolean whole, List<Host> hosts) {
--- a/src/main/java/onyxpaddle/node/ServerAnswer.java
+++ b/node/src/main/java/weldhitch/node/ServerAnswer.java
@@ -1,4 +1,4 @@
-package onyxpaddle.node;
+package weldhitch.node;
 
 record ServerAnswer(String contentType, long length, Body body) {
 }
--- a/src/main/java/onyxpaddle/node/ServerConnection.java
+++ b/node/src/main/java/weldhitch/node/ServerConnection.java
@@ -1,4 +1,4 @@
-package onyxpaddle.node;
+package weldhitch.node;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -20,7 +20,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.concurrent.TimeUnit;
-import onyxpaddle.Balancing.Outcome;
+import weldhitch.decision.Balancing.Outcome;
 
 final class ServerConnection extends ChannelInboundHandlerAdapter {
     /**
--- a/src/main/java/onyxpaddle/node/ServerConnections.java
+++ b/node/src/main/java/weldhitch/node/ServerConnections.java
@@ -1,4 +1,4 @@
-package onyxpaddle.node;
+package weldhitch.node;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufAllocator;
@@ -19,9 +19,9 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import onyxpaddle.Balancing.Effect;
-import onyxpaddle.Balancing.Outcome;
-import onyxpaddle.Balancing.ServerState;
+import weldhitch.decision.Balancing.Effect;
+import weldhitch.decision.Balancing.Outcome;
+import weldhitch.decision.Balancing.ServerState;
 
 final class ServerConnections {
     private static final double IDLE_SHARE = 0.7;
--- a/src/main/java/onyxpaddle/node/Sockets.java
+++ b/node/src/main/java/weldhitch/node/Sockets.java
@@ -1,4 +1,4 @@
-package onyxpaddle.node;
+package weldhitch.node;
 
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.PooledByteBufAllocator;
--- a/src/main/java/onyxpaddle/wire/Adapter.java
+++ b/node/src/main/java/weldhitch/wire/Adapter.java
@@ -1,4 +1,4 @@
-package onyxpaddle.wire;
+package weldhitch.wire;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -10,9 +10,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import onyxpaddle.Balancing.*;
-import onyxpaddle.FlatSettings;
-import onyxpaddle.RatioBalancer;
+import weldhitch.decision.Balancing.*;
+import weldhitch.decision.FlatSettings;
+import weldhitch.decision.RatioBalancer;
 
 /** Parses batches, hands their events to one module per instance and prints what it answers. No decisions. */
 final class Adapter {
--- a/src/main/java/onyxpaddle/wire/Fields.java
+++ b/node/src/main/java/weldhitch/wire/Fields.java
@@ -1,4 +1,4 @@
-package onyxpaddle.wire;
+package weldhitch.wire;
 
 import java.util.Map;
 
--- a/src/main/java/onyxpaddle/wire/MalformedLineException.java
+++ b/node/src/main/java/weldhitch/wire/MalformedLineException.java
@@ -1,4 +1,4 @@
-package onyxpaddle.wire;
+package weldhitch.wire;
 
 /** A wire line that is not what the protocol says; the message names the line and what is wrong. */
 final class MalformedLineException extends RuntimeException {
--- a/src/test/java/onyxpaddle/node/ConfigTest.java
+++ b/node/src/test/java/weldhitch/node/ConfigTest.java
@@ -1,4 +1,4 @@
-package onyxpaddle.node;
+package weldhitch.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -6,7 +6,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
-import onyxpaddle.Balancing.Effect;
+import weldhitch.decision.Balancing.Effect;
 import org.junit.jupiter.api.Test;
 
 /** What the configuration says, and what is said about one that makes no sense. */
--- a/src/test/java/onyxpaddle/node/DiscoveryTest.java
+++ b/node/src/test/java/weldhitch/node/DiscoveryTest.java
@@ -1,8 +1,8 @@
-package onyxpaddle.node;
+package weldhitch.node;
 
-import static onyxpaddle.node.Harness.get;
-import static onyxpaddle.node.Harness.host;
-import static onyxpaddle.node.Harness.ok;
+import static weldhitch.node.Harness.get;
+import static weldhitch.node.Harness.host;
+import static weldhitch.node.Harness.ok;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -15,9 +15,9 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import onyxpaddle.node.Harness.Message;
-import onyxpaddle.node.Harness.Peer;
-import onyxpaddle.node.Harness.Wire;
+import weldhitch.node.Harness.Message;
+import weldhitch.node.Harness.Peer;
+import weldhitch.node.Harness.Wire;
 import org.junit.jupiter.api.Test;
 
 /** The list of servers: watched, asked for, and survived when it goes wrong. */
@@ -138,7 +138,7 @@
     /** Guards against a node that follows the discovery of its start for good, or gives up a list for a bad file. */
     @Test
     void newConfigurationMovesTheWatchAndABadOneChangesNothing() throws Exception {
-        Path file = Files.createTempFile("weldlink", ".json");
+        Path file = Files.createTempFile("weldhitch", ".json");
         try (Calls old = new Calls(); Calls next = new Calls(); Peer a = Peer.answering(m -> ok("a"));
                 Peer b = Peer.answering(m -> ok("b"));
                 Harness h = Harness.start(Harness.config(old.peer.address(), host("a", a.address()), 1024, ""))) {
--- a/src/test/java/onyxpaddle/node/DrainPlanTest.java
+++ b/node/src/test/java/weldhitch/node/DrainPlanTest.java
@@ -1,4 +1,4 @@
-package onyxpaddle.node;
+package weldhitch.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
--- a/src/test/java/onyxpaddle/node/DrainTest.java
+++ b/node/src/test/java/weldhitch/node/DrainTest.java
@@ -1,15 +1,15 @@
-package onyxpaddle.node;
+package weldhitch.node;
 
-import static onyxpaddle.node.Harness.get;
-import static onyxpaddle.node.Harness.ok;
-import static onyxpaddle.node.Harness.post;
+import static weldhitch.node.Harness.get;
+import static weldhitch.node.Harness.ok;
+import static weldhitch.node.Harness.post;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.concurrent.CountDownLatch;
-import onyxpaddle.node.Harness.Message;
-import onyxpaddle.node.Harness.Peer;
-import onyxpaddle.node.Harness.Wire;
+import weldhitch.node.Harness.Message;
+import weldhitch.node.Harness.Peer;
+import weldhitch.node.Harness.Wire;
 import org.junit.jupiter.api.Test;
 
 /** The planned end: what is taken is answered, what still comes too, and then the node is done by itself. */
--- a/src/test/java/onyxpaddle/node/OutcomeTest.java
+++ b/node/src/test/java/weldhitch/node/OutcomeTest.java
@@ -1,8 +1,8 @@
-package onyxpaddle.node;
+package weldhitch.node;
 
-import static onyxpaddle.node.Harness.get;
-import static onyxpaddle.node.Harness.ok;
-import static onyxpaddle.node.Harness.post;
+import static weldhitch.node.Harness.get;
+import static weldhitch.node.Harness.ok;
+import static weldhitch.node.Harness.post;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -11,9 +11,9 @@
 import java.net.ServerSocket;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import onyxpaddle.node.Harness.Message;
-import onyxpaddle.node.Harness.Peer;
-import onyxpaddle.node.Harness.Wire;
+import weldhitch.node.Harness.Message;
+import weldhitch.node.Harness.Peer;
+import weldhitch.node.Harness.Wire;
 import org.junit.jupiter.api.Test;
 
 /** Each row of the protocol's table of outcomes, told by whether an unsafe request is tried again. */
--- a/src/test/java/onyxpaddle/node/PackagedNodeIT.java
+++ b/node/src/test/java/weldhitch/node/PackagedNodeIT.java
@@ -1,4 +1,4 @@
-package onyxpaddle.node;
+package weldhitch.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -11,9 +11,9 @@
 import java.nio.file.Path;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import onyxpaddle.node.Harness.Message;
-import onyxpaddle.node.Harness.Peer;
-import onyxpaddle.node.Harness.Wire;
+import weldhitch.node.Harness.Message;
+import weldhitch.node.Harness.Peer;
+import weldhitch.node.Harness.Wire;
 import org.junit.jupiter.api.Test;
 
 /** Starts the real node by the command that the deploy file names. */
@@ -27,7 +27,7 @@
 
     @Test
     void servesAndEndsByItselfOnSigterm() throws Exception {
-        Path config = Files.createTempFile("weldlink", ".json");
+        Path config = Files.createTempFile("weldhitch", ".json");
         Peer server = Peer.answering(m -> Harness.ok("hello"));
         String hosts = Harness.host("s", server.address());
         try (Peer discovery = Harness.discovery(hosts)) {
@@ -78,14 +78,14 @@
         Process process = run.start();
         String said = new String(process.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
         assertEquals(78, process.waitFor());
-        assertTrue(said.startsWith("weldlink: GW_CONFIG: ") && said.lines().count() == 1, said);
+        assertTrue(said.startsWith("weldhitch: GW_CONFIG: ") && said.lines().count() == 1, said);
     }
 
     @Test
     void unknownCommandPrintsUsage() throws Exception {
-        Process process = new ProcessBuilder("java", "-jar", "target/weldlink.jar", "dance").start();
+        Process process = new ProcessBuilder("java", "-jar", "node/target/weldhitch-node.jar", "dance").start();
         String said = new String(process.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
         assertEquals(64, process.waitFor());
-        assertEquals("usage: weldlink serve | adapter\n", said);
+        assertEquals("usage: weldhitch serve | adapter\n", said);
     }
 }
--- a/src/test/java/onyxpaddle/node/RestartMeasure.java
+++ b/node/src/test/java/weldhitch/node/RestartMeasure.java
@@ -1,4 +1,4 @@
-package onyxpaddle.node;
+package weldhitch.node;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -11,8 +11,8 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
-import onyxpaddle.node.Harness.Peer;
-import onyxpaddle.node.Harness.Wire;
+import weldhitch.node.Harness.Peer;
+import weldhitch.node.Harness.Wire;
 
 /**
  * Measures planned restarts of the packaged node, by hand: start to ready, SIGTERM to the listener's close and to the
--- a/src/test/java/onyxpaddle/node/StreamTest.java
+++ b/node/src/test/java/weldhitch/node/StreamTest.java
@@ -1,7 +1,7 @@
-package onyxpaddle.node;
+package weldhitch.node;
 
-import static onyxpaddle.node.Harness.feed;
-import static onyxpaddle.node.Harness.post;
+import static weldhitch.node.Harness.feed;
+import static weldhitch.node.Harness.post;
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -11,9 +11,9 @@
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicLong;
-import onyxpaddle.node.Harness.Message;
-import onyxpaddle.node.Harness.Peer;
-import onyxpaddle.node.Harness.Wire;
+import weldhitch.node.Harness.Message;
+import weldhitch.node.Harness.Peer;
+import weldhitch.node.Harness.Wire;
 import org.junit.jupiter.api.Test;
 
 /** Long bodies: passed on as they come, within bounds, and never made to look whole. */
--- a/src/test/java/onyxpaddle/wire/AdapterTest.java
+++ b/node/src/test/java/weldhitch/wire/AdapterTest.java
@@ -1,4 +1,4 @@
-package onyxpaddle.wire;
+package weldhitch.wire;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
