Move the tests' peers into a testkit module and state the house's borders

Need: every later module wants the same stand-ins on loopback, and nothing kept decisions free of I/O, clock and threads, or packages free of circles, but habit.

Change: Wire, Message, Peer and Behaviour leave Harness for weldhitch.testkit; ArchUnit holds that decisions use the JDK's collections and maths alone and ask no clock, that packages form no circles and that main code never uses the testkit.

--- /dev/null
+++ b/node/src/test/java/weldhitch/HouseTest.java
@@ -0,0 +1,40 @@
+package weldhitch;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+
+/** The borders of the house: what may use what. */
+@AnalyzeClasses(packages = "weldhitch", importOptions = ImportOption.DoNotIncludeTests.class)
+class HouseTest {
+    @ArchTest
+    static final ArchRule decisionsUseCollectionsAndMathsAlone = classes()
+        .that().resideInAPackage("weldhitch.decision..")
+        .should().onlyDependOnClassesThat()
+        .resideInAnyPackage("weldhitch.decision..", "java.lang", "java.lang.invoke", "java.lang.runtime", "java.util",
+            "java.util.function", "java.util.stream");
+
+    @ArchTest
+    static final ArchRule decisionsAskNoClockAndStartNoThread = noClasses()
+        .that().resideInAPackage("weldhitch.decision..")
+        .should().dependOnClassesThat().haveFullyQualifiedName("java.lang.Thread")
+        .orShould().dependOnClassesThat().haveFullyQualifiedName("java.util.Timer")
+        .orShould().dependOnClassesThat().haveFullyQualifiedName("java.util.Date")
+        .orShould().dependOnClassesThat().haveFullyQualifiedName("java.util.Random")
+        .orShould().callMethod(System.class, "nanoTime")
+        .orShould().callMethod(System.class, "currentTimeMillis")
+        .orShould().callMethod(Math.class, "random");
+
+    @ArchTest
+    static final ArchRule noCirclesBetweenPackages = slices().matching("weldhitch.(*)..").should().beFreeOfCycles();
+
+    @ArchTest
+    static final ArchRule theTestkitIsForTests = noClasses()
+        .that().resideOutsideOfPackage("weldhitch.testkit..")
+        .should().dependOnClassesThat().resideInAPackage("weldhitch.testkit..");
+}
--- a/node/src/test/java/weldhitch/node/ClientSideTest.java
+++ b/node/src/test/java/weldhitch/node/ClientSideTest.java
@@ -7,9 +7,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.concurrent.CountDownLatch;
-import weldhitch.node.Harness.Message;
-import weldhitch.node.Harness.Peer;
-import weldhitch.node.Harness.Wire;
+import weldhitch.testkit.Message;
+import weldhitch.testkit.Peer;
+import weldhitch.testkit.Wire;
 import org.junit.jupiter.api.Test;
 
 /** What clients send, in good order and in bad. */
--- a/node/src/test/java/weldhitch/node/DiscoveryTest.java
+++ b/node/src/test/java/weldhitch/node/DiscoveryTest.java
@@ -15,10 +15,11 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import weldhitch.node.Harness.Message;
-import weldhitch.node.Harness.Peer;
-import weldhitch.node.Harness.Wire;
+import weldhitch.testkit.Message;
+import weldhitch.testkit.Peer;
+import weldhitch.testkit.Wire;
 import org.junit.jupiter.api.Test;
+import weldhitch.testkit.Tests;
 
 /** The list of servers: watched, asked for, and survived when it goes wrong. */
 class DiscoveryTest {
@@ -44,7 +45,7 @@
         }
 
         String next() throws InterruptedException {
-            String call = calls.poll(Harness.WAIT_S, TimeUnit.SECONDS);
+            String call = calls.poll(Tests.WAIT_S, TimeUnit.SECONDS);
             assertTrue(call != null, "no call came");
             return call;
         }
--- a/node/src/test/java/weldhitch/node/DrainTest.java
+++ b/node/src/test/java/weldhitch/node/DrainTest.java
@@ -7,10 +7,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.concurrent.CountDownLatch;
-import weldhitch.node.Harness.Message;
-import weldhitch.node.Harness.Peer;
-import weldhitch.node.Harness.Wire;
+import weldhitch.testkit.Message;
+import weldhitch.testkit.Peer;
+import weldhitch.testkit.Wire;
 import org.junit.jupiter.api.Test;
+import weldhitch.testkit.Tests;
 
 /** The planned end: what is taken is answered, what still comes too, and then the node is done by itself. */
 class DrainTest {
@@ -30,7 +31,7 @@
             Wire busy = h.client();
             busy.write(get("1"));
             asked.await();
-            Thread drain = Harness.daemon(h.node::drain);
+            Thread drain = Tests.daemon(h.node::drain);
             Wire late = h.client();
             while (h.ask("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").status() == 200) {
                 Thread.onSpinWait();
@@ -44,7 +45,7 @@
                 assertTrue(wire.ends(), "what is not told to go in an answer is closed in its turn");
                 wire.close();
             }
-            drain.join(Harness.WAIT_S * 1000L);
+            drain.join(Tests.WAIT_S * 1000L);
             assertTrue(!drain.isAlive(), "the node does not end by itself");
         }
     }
@@ -59,7 +60,7 @@
         try (Harness h = Harness.start(server); Wire kept = h.client(); Wire late = h.client()) {
             kept.write(get("1"));
             assertEquals(200, kept.message().status());
-            Thread drain = Harness.daemon(h.node::drain);
+            Thread drain = Tests.daemon(h.node::drain);
             while (h.ask("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").status() == 200) {
                 Thread.onSpinWait();
             }
@@ -82,7 +83,7 @@
             } while (!"close".equals(m.field("connection")));
             assertTrue(served > 1, "told to go at once");
             assertTrue(kept.ends());
-            drain.join(Harness.WAIT_S * 1000L);
+            drain.join(Tests.WAIT_S * 1000L);
             assertTrue(!drain.isAlive(), "the node does not end by itself");
         }
     }
--- a/node/src/test/java/weldhitch/node/Harness.java
+++ b/node/src/test/java/weldhitch/node/Harness.java
@@ -1,25 +1,19 @@
 package weldhitch.node;
 
-import java.io.ByteArrayOutputStream;
 import java.io.Closeable;
-import java.io.EOFException;
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
+import weldhitch.testkit.Message;
+import weldhitch.testkit.Peer;
+import weldhitch.testkit.Wire;
 
 /** A node in this process, between peers of a test's own on ephemeral loopback ports. */
 final class Harness implements Closeable {
-    static final int WAIT_S = 20;
     private static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
 
     final Node node;
@@ -29,208 +23,6 @@
         this.node = node;
     }
 
-    /** A connection as a test's peer sees it, with reads of HTTP messages and of their end. */
-    static final class Wire implements Closeable {
-        final Socket socket;
-        private final InputStream in;
-
-        Wire(Socket socket) throws IOException {
-            this.socket = socket;
-            socket.setSoTimeout(WAIT_S * 1000);
-            in = new java.io.BufferedInputStream(socket.getInputStream());
-        }
-
-        void write(String text) throws IOException {
-            write(text.getBytes(StandardCharsets.ISO_8859_1));
-        }
-
-        void write(byte[] bytes) throws IOException {
-            socket.getOutputStream().write(bytes);
-            socket.getOutputStream().flush();
-        }
-
-        /** A head up to its empty line; null at the connection's end. */
-        String head() throws IOException {
-            ByteArrayOutputStream head = new ByteArrayOutputStream();
-            for (int b = in.read(); b >= 0; b = in.read()) {
-                head.write(b);
-                String text = head.toString(StandardCharsets.ISO_8859_1);
-                if (text.endsWith("\r\n\r\n")) {
-                    return text;
-                }
-            }
-            if (head.size() > 0) {
-                throw new EOFException("a broken head: " + head);
-            }
-            return null;
-        }
-
-        /** A message with a Content-Length, read whole. */
-        Message message() throws IOException {
-            String head = head();
-            if (head == null) {
-                return null;
-            }
-            String length = Message.field(head, "content-length");
-            byte[] body = in.readNBytes(length == null ? 0 : Integer.parseInt(length));
-            return new Message(head, body);
-        }
-
-        /** The rest of what comes, to the connection's end. */
-        byte[] rest() throws IOException {
-            return in.readAllBytes();
-        }
-
-        byte[] bytes(int count) throws IOException {
-            return in.readNBytes(count);
-        }
-
-        /** Whether the peer ends the connection, by closing or by a reset. */
-        boolean ends() throws IOException {
-            try {
-                return in.read() < 0;
-            } catch (java.net.SocketException e) {
-                return true;
-            }
-        }
-
-        void reset() throws IOException {
-            socket.setSoLinger(true, 0);
-            socket.close();
-        }
-
-        @Override
-        public void close() throws IOException {
-            socket.close();
-        }
-    }
-
-    record Message(String head, byte[] body) {
-        String firstLine() {
-            return head.substring(0, head.indexOf('\r'));
-        }
-
-        int status() {
-            return Integer.parseInt(head.substring(9, 12));
-        }
-
-        String field(String name) {
-            return field(head, name);
-        }
-
-        String text() {
-            return new String(body, StandardCharsets.ISO_8859_1);
-        }
-
-        static String field(String head, String name) {
-            for (String line : head.split("\r\n")) {
-                if (line.toLowerCase(java.util.Locale.ROOT).startsWith(name + ":")) {
-                    return line.substring(name.length() + 1).trim();
-                }
-            }
-            return null;
-        }
-    }
-
-    /** What a test's server does with one connection. */
-    interface Behaviour {
-        void serve(Wire wire) throws Exception;
-    }
-
-    /** A listening peer that gives each connection to its behaviour, on a thread of its own. */
-    static final class Peer implements Closeable {
-        final ServerSocket listener;
-        final BlockingQueue<Message> requests = new LinkedBlockingQueue<>();
-        final BlockingQueue<Wire> connections = new LinkedBlockingQueue<>();
-        private final List<Wire> wires = new CopyOnWriteArrayList<>();
-        private final java.util.concurrent.atomic.AtomicInteger serving =
-            new java.util.concurrent.atomic.AtomicInteger();
-
-        Peer(Behaviour behaviour) throws IOException {
-            listener = new ServerSocket(0, 50, LOOPBACK);
-            daemon(() -> {
-                while (true) {
-                    Wire wire = new Wire(listener.accept());
-                    wires.add(wire);
-                    connections.add(wire);
-                    serving.incrementAndGet();
-                    daemon(() -> {
-                        try {
-                            behaviour.serve(wire);
-                        } finally {
-                            serving.decrementAndGet();
-                        }
-                    });
-                }
-            });
-        }
-
-        /** A server that notes each request and answers it by {@code answer}. */
-        static Peer answering(java.util.function.Function<Message, String> answer) throws IOException {
-            Peer[] self = new Peer[1];
-            java.util.concurrent.CountDownLatch set = new java.util.concurrent.CountDownLatch(1);
-            self[0] = new Peer(wire -> {
-                set.await();
-                for (Message m = wire.message(); m != null; m = wire.message()) {
-                    self[0].requests.add(m);
-                    wire.write(answer.apply(m));
-                }
-            });
-            set.countDown();
-            return self[0];
-        }
-
-        /** Connections whose behaviour has not ended. */
-        int serving() {
-            return serving.get();
-        }
-
-        Message next() throws InterruptedException {
-            Message m = requests.poll(WAIT_S, TimeUnit.SECONDS);
-            if (m == null) {
-                throw new AssertionError("no request came");
-            }
-            return m;
-        }
-
-        Wire connection() throws InterruptedException {
-            Wire w = connections.poll(WAIT_S, TimeUnit.SECONDS);
-            if (w == null) {
-                throw new AssertionError("no connection came");
-            }
-            return w;
-        }
-
-        String address() {
-            return "127.0.0.1:" + listener.getLocalPort();
-        }
-
-        @Override
-        public void close() throws IOException {
-            listener.close();
-            for (Wire wire : wires) {
-                wire.close();
-            }
-        }
-    }
-
-    interface Work {
-        void run() throws Exception;
-    }
-
-    static Thread daemon(Work work) {
-        Thread thread = new Thread(() -> {
-            try {
-                work.run();
-            } catch (Exception e) {
-                // a peer of a test ends with its connection
-            }
-        });
-        thread.setDaemon(true);
-        thread.start();
-        return thread;
-    }
-
     static String ok(String body) {
         return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
     }
--- a/node/src/test/java/weldhitch/node/OutcomeTest.java
+++ b/node/src/test/java/weldhitch/node/OutcomeTest.java
@@ -11,16 +11,18 @@
 import java.net.ServerSocket;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import weldhitch.node.Harness.Message;
-import weldhitch.node.Harness.Peer;
-import weldhitch.node.Harness.Wire;
+import weldhitch.testkit.Message;
+import weldhitch.testkit.Peer;
+import weldhitch.testkit.Wire;
 import org.junit.jupiter.api.Test;
+import weldhitch.testkit.Behaviour;
+import weldhitch.testkit.Tests;
 
 /** Each row of the protocol's table of outcomes, told by whether an unsafe request is tried again. */
 class OutcomeTest {
     /** Two servers that share a script: whichever is asked first plays it, the next request is served. */
-    private static Message firstThen(Harness.Behaviour first, AtomicInteger asked) throws Exception {
-        Harness.Behaviour both = wire -> {
+    private static Message firstThen(Behaviour first, AtomicInteger asked) throws Exception {
+        Behaviour both = wire -> {
             for (String head = wire.head(); head != null; head = wire.head()) {
                 wire.bytes(4);
                 if (asked.incrementAndGet() == 1) {
@@ -175,7 +177,7 @@
     @Test
     void brokenSafeAnswerIsTriedAgainAndServedWhole() throws Exception {
         AtomicInteger asked = new AtomicInteger();
-        Harness.Behaviour half = wire -> {
+        Behaviour half = wire -> {
             while (wire.head() != null) {
                 if (asked.incrementAndGet() == 1) {
                     wire.write("HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\nhalf");
@@ -274,7 +276,7 @@
                 assertEquals(503, h.ask(post("i" + i, "x")).status(), "request " + i);
             }
             try (ServerSocket back = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
-                back.setSoTimeout(Harness.WAIT_S * 1000);
+                back.setSoTimeout(Tests.WAIT_S * 1000);
                 Wire client = h.client();
                 client.write(post("j", "x"));
                 try (Wire server = new Wire(back.accept())) {
--- a/node/src/test/java/weldhitch/node/PackagedNodeIT.java
+++ b/node/src/test/java/weldhitch/node/PackagedNodeIT.java
@@ -11,9 +11,9 @@
 import java.nio.file.Path;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import weldhitch.node.Harness.Message;
-import weldhitch.node.Harness.Peer;
-import weldhitch.node.Harness.Wire;
+import weldhitch.testkit.Message;
+import weldhitch.testkit.Peer;
+import weldhitch.testkit.Wire;
 import org.junit.jupiter.api.Test;
 
 /** Starts the real node by the command that the deploy file names. */
--- a/node/src/test/java/weldhitch/node/RestartMeasure.java
+++ b/node/src/test/java/weldhitch/node/RestartMeasure.java
@@ -11,8 +11,9 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
-import weldhitch.node.Harness.Peer;
-import weldhitch.node.Harness.Wire;
+import weldhitch.testkit.Peer;
+import weldhitch.testkit.Wire;
+import weldhitch.testkit.Tests;
 
 /**
  * Measures planned restarts of the packaged node, by hand: start to ready, SIGTERM to the listener's close and to the
@@ -72,7 +73,7 @@
                     }
                     long told = System.nanoTime();
                     process.destroy();
-                    Thread watch = Harness.daemon(() -> {
+                    Thread watch = Tests.daemon(() -> {
                         while (listens(port)) {
                             Thread.onSpinWait();
                         }
--- a/node/src/test/java/weldhitch/node/StreamTest.java
+++ b/node/src/test/java/weldhitch/node/StreamTest.java
@@ -11,10 +11,11 @@
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicLong;
-import weldhitch.node.Harness.Message;
-import weldhitch.node.Harness.Peer;
-import weldhitch.node.Harness.Wire;
+import weldhitch.testkit.Message;
+import weldhitch.testkit.Peer;
+import weldhitch.testkit.Wire;
 import org.junit.jupiter.api.Test;
+import weldhitch.testkit.Tests;
 
 /** Long bodies: passed on as they come, within bounds, and never made to look whole. */
 class StreamTest {
@@ -106,7 +107,7 @@
         Peer server = new Peer(wire -> {
             wire.head();
             wire.write("HTTP/1.1 200 OK\r\nContent-Length: " + body.length + "\r\n\r\n");
-            Thread watch = Harness.daemon(() -> {
+            Thread watch = Tests.daemon(() -> {
                 long before = -1;
                 while (before != sent.get()) {
                     before = sent.get();
@@ -124,7 +125,7 @@
             Wire wire = h.client();
             wire.write(feed("1"));
             wire.head();
-            assertTrue(stuck.await(Harness.WAIT_S, java.util.concurrent.TimeUnit.SECONDS));
+            assertTrue(stuck.await(Tests.WAIT_S, java.util.concurrent.TimeUnit.SECONDS));
             assertTrue(sent.get() < body.length, "the node took all of it in for a client that reads nothing");
             assertArrayEquals(body, wire.bytes(body.length));
         }
--- /dev/null
+++ b/testkit/src/main/java/weldhitch/testkit/Behaviour.java
@@ -0,0 +1,6 @@
+package weldhitch.testkit;
+
+/** What a test's server does with one connection. */
+public interface Behaviour {
+    void serve(Wire wire) throws Exception;
+}
--- /dev/null
+++ b/testkit/src/main/java/weldhitch/testkit/Tests.java
@@ -0,0 +1,28 @@
+package weldhitch.testkit;
+
+/** What every test on sockets shares: how long it waits at the most, and threads that end with it. */
+public final class Tests {
+    /** The longest that a test waits for anything, in seconds: a bound for a noisy machine, no verdict. */
+    public static final int WAIT_S = 20;
+
+    private Tests() {
+    }
+
+    /** Work of a peer, which ends with its connection however that goes. */
+    public interface Work {
+        void run() throws Exception;
+    }
+
+    public static Thread daemon(Work work) {
+        Thread thread = new Thread(() -> {
+            try {
+                work.run();
+            } catch (Exception e) {
+                // a peer of a test ends with its connection
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+        return thread;
+    }
+}
