Show on sockets what a node lets in after a start, a release and full servers

Need: the three rules of the limit had tests of the module alone. Change: loopback tests that count what reaches the servers at once.

--- /dev/null
+++ b/node/src/test/java/weldhitch/node/AdmissionOnSocketsTest.java
@@ -0,0 +1,196 @@
+package weldhitch.node;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static weldhitch.node.Harness.host;
+import static weldhitch.node.Harness.ok;
+import static weldhitch.node.Harness.post;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import weldhitch.testkit.Message;
+import weldhitch.testkit.Peer;
+import weldhitch.testkit.Tests;
+import weldhitch.testkit.Wire;
+
+/** What a node lets in at once, seen by its servers: after a start, when they are full, when some of them are gone. */
+class AdmissionOnSocketsTest {
+    private static final int CLIENTS = 60;
+    private static final String FULL = "HTTP/1.1 503 x\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n";
+
+    private enum Mode { ANSWER_SOON, FULL, HOLD }
+
+    /** Servers of one mode, and clients that each ask on until they are told to stop. */
+    private static final class Site implements Closeable {
+        volatile Mode mode = Mode.ANSWER_SOON;
+        final CountDownLatch release = new CountDownLatch(1);
+        final AtomicInteger inService = new AtomicInteger();
+        final AtomicInteger most = new AtomicInteger();
+        final AtomicInteger served = new AtomicInteger();
+        final AtomicInteger refused = new AtomicInteger();
+        final AtomicInteger ids = new AtomicInteger();
+        final List<Peer> servers = new ArrayList<>();
+        final CountDownLatch never = new CountDownLatch(1);
+        Peer discovery;
+        Harness node;
+        volatile boolean stopped;
+
+        Site(int count) throws Exception {
+            for (int i = 0; i < count; i++) {
+                servers.add(new Peer(this::serve));
+            }
+        }
+
+        private void serve(Wire wire) throws Exception {
+            while (wire.message() != null) {
+                Mode now = mode;
+                if (now == Mode.FULL) {
+                    wire.write(FULL);
+                    continue;
+                }
+                most.accumulateAndGet(inService.incrementAndGet(), Math::max);
+                // The time that its work takes: long enough for a round trip to be seen, far from any aim.
+                (now == Mode.HOLD ? release : never).await(now == Mode.HOLD ? Tests.WAIT_S * 1000 : 20,
+                    TimeUnit.MILLISECONDS);
+                inService.decrementAndGet();
+                wire.write(ok("x"));
+            }
+        }
+
+        String hosts() {
+            StringBuilder hosts = new StringBuilder();
+            for (int i = 0; i < servers.size(); i++) {
+                hosts.append(i == 0 ? "" : ",").append(host("s" + i, servers.get(i).address()));
+            }
+            return hosts.toString();
+        }
+
+        void start(Peer listTeller) throws Exception {
+            discovery = listTeller;
+            node = Harness.start(Harness.config(listTeller.address(), hosts(), 1024, ""));
+        }
+
+        /** So many clients, each asking again as soon as it is answered, until {@code until} is reached. */
+        void ask(int clients, AtomicInteger count, int until) throws Exception {
+            stopped = false;
+            List<Thread> all = new ArrayList<>();
+            for (int i = 0; i < clients; i++) {
+                Wire wire = node.client();
+                all.add(Tests.daemon(() -> {
+                    while (!stopped) {
+                        wire.write(post("r" + ids.incrementAndGet(), "b"));
+                        Message m = wire.message();
+                        (m.status() == 200 ? served : refused).incrementAndGet();
+                    }
+                }));
+            }
+            await(() -> count.get() >= until);
+            stopped = true;
+            for (Thread thread : all) {
+                thread.join(Tests.WAIT_S * 1000L);
+            }
+        }
+
+        /** How many of many requests at once get to a server when none is answered; unsafe ones get there once only. */
+        int letIn() throws Exception {
+            mode = Mode.HOLD;
+            int before = refused.get();
+            for (int i = 0; i < CLIENTS; i++) {
+                Wire wire = node.client();
+                Tests.daemon(() -> {
+                    wire.write(post("h" + ids.incrementAndGet(), "b"));
+                    (wire.message().status() == 200 ? served : refused).incrementAndGet();
+                });
+            }
+            await(() -> inService.get() + refused.get() - before == CLIENTS);
+            return inService.get();
+        }
+
+        @Override
+        public void close() throws IOException {
+            release.countDown();
+            if (node != null) {
+                node.close();
+                discovery.close();
+            }
+            for (Peer server : servers) {
+                server.close();
+            }
+        }
+    }
+
+    private interface Condition {
+        boolean holds();
+    }
+
+    private static void await(Condition condition) {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(Tests.WAIT_S);
+        while (!condition.holds()) {
+            assertTrue(System.nanoTime() < end, "it never came about");
+            Thread.onSpinWait();
+        }
+    }
+
+    /** By a tenth for each answer the limit would be 22 at the most after a hundred of them. */
+    @Test
+    void aFreshNodeLetsInWhatItsServersCanDoAfterAFewRoundTrips() throws Exception {
+        try (Site site = new Site(2)) {
+            site.start(Harness.discovery(site.hosts()));
+            site.ask(CLIENTS, site.served, 100);
+            assertTrue(site.most.get() >= 30, "at most " + site.most + " at once");
+        }
+    }
+
+    /** Only late answers lowered the limit, and a server that turns away answers nothing late. */
+    @Test
+    void aNodeWhoseServersAreFullLetsInFewer() throws Exception {
+        try (Site site = new Site(2)) {
+            site.start(Harness.discovery(site.hosts()));
+            site.ask(CLIENTS, site.served, 300);
+            int before = site.most.get();
+            assertTrue(before >= 30, "at most " + before + " at once");
+            site.mode = Mode.FULL;
+            site.ask(CLIENTS, site.refused, site.refused.get() + 200);
+            int after = site.letIn();
+            assertTrue(after > 0 && after <= before / 2, after + " at once after " + before);
+        }
+    }
+
+    /** A release that took most of the servers left the limit that all of them had taught. */
+    @Test
+    void aNodeLeftWithOneOfFourServersLetsInFewer() throws Exception {
+        CountDownLatch taken = new CountDownLatch(1);
+        CountDownLatch drain = new CountDownLatch(1);
+        try (Site site = new Site(4)) {
+            Peer discovery = new Peer(wire -> {
+                for (Message m = wire.message(); m != null; m = wire.message()) {
+                    if (!m.firstLine().contains("after=1&") && !m.firstLine().contains("after=2&")) {
+                        wire.write(ok("{\"seq\":1,\"whole\":true,\"hosts\":[" + site.hosts() + "]}"));
+                    } else if (m.firstLine().contains("after=1&")) {
+                        drain.await();
+                        wire.write(ok("{\"seq\":2,\"whole\":false,\"hosts\":["
+                            + host("s0", site.servers.get(0).address(), "draining") + ","
+                            + host("s1", site.servers.get(1).address(), "draining") + ","
+                            + host("s2", site.servers.get(2).address(), "draining") + "]}"));
+                    } else {
+                        taken.countDown();
+                        wire.write(ok("{\"seq\":2,\"whole\":false,\"hosts\":[]}"));
+                    }
+                }
+            });
+            site.start(discovery);
+            site.ask(CLIENTS, site.served, 300);
+            int before = site.most.get();
+            assertTrue(before >= 40, "at most " + before + " at once");
+            drain.countDown();
+            assertTrue(taken.await(Tests.WAIT_S, TimeUnit.SECONDS));
+            int after = site.letIn();
+            assertTrue(after > 0 && after <= before / 2, after + " at once after " + before);
+        }
+    }
+}
