--- /dev/null
+++ b/cli/src/main/java/weldhitch/cli/Demo.java
@@ -0,0 +1,133 @@
+package weldhitch.cli;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Spec;
+
+/**
+ * A node before a few stand-in servers, each a process of its own, so that one can be killed to see what becomes of
+ * requests. All of it listens on loopback and ends with this process.
+ */
+@Command(name = "demo", mixinStandardHelpOptions = true,
+    description = "Starts a node before stand-in servers on loopback, to be asked with curl.")
+final class Demo implements Callable<Integer> {
+    @Option(names = "--port", defaultValue = "8080", description = "Where the node listens; 0 for any free port.")
+    private int port;
+    @Option(names = "--servers", defaultValue = "3", description = "How many servers stand behind it, 1 to 20.")
+    private int count;
+    @Spec
+    private CommandSpec spec;
+
+    private final List<Process> processes = new ArrayList<>();
+
+    @Override
+    public Integer call() throws Exception {
+        if (port < 0 || port > 65535) {
+            throw new ParameterException(spec.commandLine(), "--port: " + port + " is not from 0 to 65535");
+        }
+        if (count < 1 || count > 20) {
+            throw new ParameterException(spec.commandLine(), "--servers: " + count + " is not from 1 to 20");
+        }
+        Path config = Files.createTempFile("weldhitch-demo", ".json");
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> end(config), "end"));
+        try (DemoDiscovery discovery = new DemoDiscovery()) {
+            for (int i = 1; i <= count; i++) {
+                startServer("s" + i, discovery);
+            }
+            int listen = port == 0 ? freePort() : port;
+            Files.writeString(config, config(listen, discovery));
+            Process node = start(List.of("-Xmx64m", "-cp", jar(), "weldhitch.Main", "serve"), config);
+            try (BufferedReader log = node.errorReader(StandardCharsets.UTF_8)) {
+                String line = log.readLine();
+                if (line == null || !line.contains("listens on")) {
+                    System.err.println("weldhitch: the node did not start: " + line);
+                    return 1;
+                }
+                System.out.println("The node listens. A safe request, which may be tried again:");
+                System.out.println("    curl -H 'X-Trace-Id: '$RANDOM$RANDOM http://127.0.0.1:" + listen + "/look-up");
+                System.out.println("An unsafe one, which never runs twice:");
+                System.out.println("    curl -H 'X-Trace-Id: '$RANDOM$RANDOM -d cow http://127.0.0.1:" + listen
+                    + "/enrol");
+                System.out.println("Kill a server (kill -9 with its number above) and ask on. Ctrl-C ends it all.");
+                for (line = log.readLine(); line != null; line = log.readLine()) {
+                    System.out.println("node: " + line);
+                }
+            }
+            return node.waitFor();
+        }
+    }
+
+    private void startServer(String name, DemoDiscovery discovery) throws IOException {
+        Process server = start(List.of("-Xmx32m", "-Dsun.net.httpserver.nodelay=true", "-cp", jar(), DemoServer.class.getName(), name), null);
+        String address = server.inputReader(StandardCharsets.UTF_8).readLine();
+        if (address == null) {
+            throw new IOException("server " + name + " did not start");
+        }
+        discovery.add(name, address);
+        // Like a real list, this one hears of an end some time after it.
+        server.onExit().thenRun(() -> discovery.goneSoon(name));
+        System.out.println("server " + name + " is process " + server.pid() + " on " + address);
+    }
+
+    private Process start(List<String> arguments, Path config) throws IOException {
+        List<String> command = new ArrayList<>();
+        command.add(ProcessHandle.current().info().command().orElse("java"));
+        command.addAll(arguments);
+        ProcessBuilder builder = new ProcessBuilder(command);
+        if (config != null) {
+            builder.environment().put("GW_CONFIG", config.toString());
+        }
+        Process process = builder.start();
+        synchronized (processes) {
+            processes.add(process);
+        }
+        return process;
+    }
+
+    private void end(Path config) {
+        synchronized (processes) {
+            processes.forEach(Process::destroyForcibly);
+        }
+        try {
+            Files.deleteIfExists(config);
+        } catch (IOException e) {
+            System.err.println("weldhitch: left behind: " + config);
+        }
+    }
+
+    private static String jar() {
+        return System.getProperty("java.class.path");
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private static String config(int listen, DemoDiscovery discovery) {
+        return """
+            {"name":"demo","listen":"127.0.0.1:%d","discovery":"%s","seed":"0f","limits":{"sockets":256},
+             "known":%s,
+             "settings":{"areas":["here"],"az":"here","layer":0,"me":0,"siblings":1,"quantumS":0.002,"classes":[
+               {"name":"look-up","effect":"read_like","aimS":0.6,"deadlineS":3.0},
+               {"name":"enrol","effect":"non_idempotent","aimS":1.2,"deadlineS":3.0}],
+              "limits":{"maxAttempts":4,"cancel":true,"retryAfter":true,"maxRetryAfterS":1.5,"dialTimeoutS":0.15,
+                "keepaliveS":5.0},
+              "rules":{"drainGraceS":2.0,"askEveryS":10.0,"startCapacity":1,"coldS":0,"fallMultiple":3,
+                "overloadForS":3}}}
+            """.formatted(listen, discovery.address(), discovery.wholeList());
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/weldhitch/cli/DemoServer.java
@@ -0,0 +1,34 @@
+package weldhitch.cli;
+
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.Executors;
+
+/** One server of the demonstration: says who it is. Ends when its standard input does, so with who started it. */
+final class DemoServer {
+    private DemoServer() {
+    }
+
+    public static void main(String[] args) throws IOException {
+        HttpServer server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+        server.setExecutor(Executors.newFixedThreadPool(8));
+        server.createContext("/", exchange -> {
+            try (InputStream body = exchange.getRequestBody()) {
+                body.readAllBytes();
+            }
+            byte[] answer = (args[0] + " served " + exchange.getRequestMethod() + " " + exchange.getRequestURI() + "\n")
+                .getBytes(StandardCharsets.UTF_8);
+            exchange.sendResponseHeaders(200, answer.length);
+            exchange.getResponseBody().write(answer);
+            exchange.close();
+        });
+        server.start();
+        System.out.println("127.0.0.1:" + server.getAddress().getPort());
+        System.in.transferTo(java.io.OutputStream.nullOutputStream());
+        System.exit(0);
+    }
+}
