--- a/node/src/main/java/weldhitch/node/DrainPlan.java
+++ b/decision/src/main/java/weldhitch/decision/DrainPlan.java
@@ -1,4 +1,4 @@
-package weldhitch.node;
+package weldhitch.decision;
 
 /**
  * What a node that is told to end still takes, and what it closes when: free of I/O, clock and threads; times are the
@@ -11,7 +11,7 @@
  * so that their new connections do not fall on one other node in the same moment. A deadline past the end is cut to
  * it; what comes too late even for its aim is refused, as it is known not to have run.
  */
-final class DrainPlan {
+public final class DrainPlan {
     private static final long MILLI = 1_000_000L;
     /** How long after the longest deadline the process is sure to live, less room for a late timer and the exit. */
     private static final long AFTER_LONGEST = 500 * MILLI;
@@ -31,20 +31,21 @@
      * {@code longestDeadline}: the longest that a class of requests is waited for; {@code longestAim}: the longest
      * time within which one wants its answer. Both in nanoseconds.
      */
-    DrainPlan(long longestDeadline, long longestAim) {
+    public DrainPlan(long longestDeadline, long longestAim) {
         this.longestDeadline = longestDeadline;
         this.longestAim = longestAim;
     }
 
     /** The node is told to end; a second call changes nothing. */
-    void begin(long now) {
+    public void begin(long now) {
         if (!begun) {
             begun = true;
             since = now;
         }
     }
 
-    boolean begun() {
+    /** Whether the node is told to end. */
+    public boolean begun() {
         return begun;
     }
 
@@ -63,7 +64,7 @@
      * before, and 0 where what is left is not even the time it is wanted within ({@code aim}; 0 for none stated), so
      * that another node had better have it.
      */
-    long timeFor(long now, long patience, long aim) {
+    public long timeFor(long now, long patience, long aim) {
         if (!begun) {
             return patience;
         }
@@ -76,19 +77,19 @@
      * Whether new connections are still accepted: as long as callers keep any open and are not told to go, and in any
      * case while those who deal them out may not have heard. {@code acceptedAt} is when the last one came.
      */
-    boolean listens(long now, long acceptedAt, int open) {
+    public boolean listens(long now, long acceptedAt, int open) {
         long passed = now - since;
         return !begun || passed < LISTEN_ON || open > 0 && now < farewell()
             || now - acceptedAt < QUIET && passed < LISTEN_AT_MOST;
     }
 
     /** Whether an answer given now tells its caller to go. */
-    boolean saysClose(long now) {
+    public boolean saysClose(long now) {
         return begun && now >= farewell();
     }
 
     /** How many of so many idle connections stay open now: all at first, then evenly fewer, none at the end. */
-    int keepsIdle(long now, int idleAtFarewell) {
+    public int keepsIdle(long now, int idleAtFarewell) {
         if (!begun || now < farewell()) {
             return idleAtFarewell;
         }
--- a/node/src/test/java/weldhitch/node/DrainPlanTest.java
+++ b/decision/src/test/java/weldhitch/decision/DrainPlanTest.java
@@ -1,4 +1,4 @@
-package weldhitch.node;
+package weldhitch.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
--- a/node/src/main/java/weldhitch/node/ClientServer.java
+++ b/node/src/main/java/weldhitch/node/ClientServer.java
@@ -25,6 +25,7 @@
 import java.util.function.ToLongFunction;
 import weldhitch.decision.Balancing.RequestClass;
 import weldhitch.decision.Balancing.Settings;
+import weldhitch.decision.DrainPlan;
 
 final class ClientServer {
     private static final int LONGEST_LINE = 8 * 1024;
