--- a/src/test/java/onyxpaddle/sim/SimulatedServer.java
+++ b/decision/src/test/java/weldhitch/decision/sim/SimulatedServer.java
@@ -1,8 +1,8 @@
-package onyxpaddle.sim;
+package weldhitch.decision.sim;
 
 import java.util.ArrayDeque;
 import java.util.PriorityQueue;
-import onyxpaddle.Balancing.Outcome;
+import weldhitch.decision.Balancing.Outcome;
 
 /**
  * A server of one core that shares it evenly among the requests it works on: each waits on others for a while first
@@ -30,7 +30,6 @@
     boolean gone;
     /** Answers with an error at once, as a server with a broken disk would. */
     boolean broken;
-    long turnedAway;
 
     private final class Job implements Comparable<Job> {
         final double work;
@@ -75,7 +74,6 @@
         } else if (broken) {
             reply.ended(Outcome.ERROR);
         } else if (draining || held >= slots && waiting.size() >= queue) {
-            turnedAway++;
             reply.ended(Outcome.FULL);
         } else {
             waiting.add(new Job(work, elsewhere, reply));
--- a/src/test/java/onyxpaddle/node/DiscoveryTest.java
+++ b/node/src/test/java/weldhitch/node/DiscoveryTest.java
@@ -1,8 +1,8 @@
-package onyxpaddle.node;
+package weldhitch.node;
 
-import static onyxpaddle.node.Harness.get;
-import static onyxpaddle.node.Harness.host;
-import static onyxpaddle.node.Harness.ok;
+import static weldhitch.node.Harness.get;
+import static weldhitch.node.Harness.host;
+import static weldhitch.node.Harness.ok;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -15,10 +15,11 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import onyxpaddle.node.Harness.Message;
-import onyxpaddle.node.Harness.Peer;
-import onyxpaddle.node.Harness.Wire;
+import weldhitch.testkit.Message;
+import weldhitch.testkit.Peer;
+import weldhitch.testkit.Wire;
 import org.junit.jupiter.api.Test;
+import weldhitch.testkit.Tests;
 
 /** The list of servers: watched, asked for, and survived when it goes wrong. */
 class DiscoveryTest {
@@ -44,7 +45,7 @@
         }
 
         String next() throws InterruptedException {
-            String call = calls.poll(Harness.WAIT_S, TimeUnit.SECONDS);
+            String call = calls.poll(Tests.WAIT_S, TimeUnit.SECONDS);
             assertTrue(call != null, "no call came");
             return call;
         }
@@ -138,7 +139,7 @@
     /** Guards against a node that follows the discovery of its start for good, or gives up a list for a bad file. */
     @Test
     void newConfigurationMovesTheWatchAndABadOneChangesNothing() throws Exception {
-        Path file = Files.createTempFile("weldlink", ".json");
+        Path file = Files.createTempFile("weldhitch", ".json");
         try (Calls old = new Calls(); Calls next = new Calls(); Peer a = Peer.answering(m -> ok("a"));
                 Peer b = Peer.answering(m -> ok("b"));
                 Harness h = Harness.start(Harness.config(old.peer.address(), host("a", a.address()), 1024, ""))) {
