Take the import circles out of the node

Change: the way of a request reads downward (listener, exchange, dispatcher, upstream connection). What was asked is a CallerRequest of its own, known to attempts; answers come back through AttemptListener, Caller, StreamSink and StreamSource, connections know an Owner. No change of behaviour. ArchUnit holds that no two classes of the node use each other in a circle.

--- a/node/src/main/java/weldhitch/node/Attempt.java
+++ b/node/src/main/java/weldhitch/node/Attempt.java
@@ -1,25 +1,29 @@
 package weldhitch.node;
 
-import io.netty.channel.ChannelFuture;
 import io.netty.util.concurrent.Future;
 
-/** One sending of a request to a server. It ends exactly once, by {@link Dispatcher#ended}. */
+/** One sending of a request to a server. It ends exactly once, by {@link AttemptListener#ended}. */
 final class Attempt {
-    final Exchange exchange;
+    /** What carries the attempt: a dial or a connection. */
+    interface Carrier {
+        /** The attempt is given up by its owner, who says how it ended. */
+        void abandon();
+    }
+
+    final CallerRequest request;
     final int number;
     final String server;
     final long sentAt;
     final long until;
     Future<?> timer;
-    ChannelFuture dial;
-    ServerConnection connection;
+    Carrier carrier;
     /** The operating system has the request's last byte: from here on the server may run it. */
     boolean written;
     boolean streaming;
     boolean ended;
 
-    Attempt(Exchange exchange, int number, String server, long sentAt, long until) {
-        this.exchange = exchange;
+    Attempt(CallerRequest request, int number, String server, long sentAt, long until) {
+        this.request = request;
         this.number = number;
         this.server = server;
         this.sentAt = sentAt;
--- a/node/src/main/java/weldhitch/node/ClientConnection.java
+++ b/node/src/main/java/weldhitch/node/ClientConnection.java
@@ -26,7 +26,29 @@
 import java.util.List;
 import weldhitch.decision.Balancing.RequestClass;
 
-final class ClientConnection extends ChannelInboundHandlerAdapter {
+final class ClientConnection extends ChannelInboundHandlerAdapter implements Caller {
+    /** The server that accepted the connection. */
+    interface Owner {
+        void opened(ClientConnection connection);
+
+        void closed(ClientConnection connection);
+
+        void idle(ClientConnection connection, boolean isIdle);
+
+        /** Whether so many clients have requests under way that a further one is turned away. */
+        boolean crowded();
+
+        boolean ready();
+
+        /** Whether an answer given now tells its caller to go elsewhere. */
+        boolean saysClose();
+
+        RequestClass requestClass(String name);
+
+        /** How long a request whose last byte has come may take; 0 where this node ends too soon to be of use. */
+        long timeFor(Exchange exchange);
+    }
+
     private static final long SECOND = 1_000_000_000L;
     private static final long LARGEST_BODY = 32L << 20;
     /** A client that breaks off within a request is owed an answer within 3 s; the sweep takes its part of them. */
@@ -56,7 +78,10 @@
         CLOSING
     }
 
-    private final ClientServer all;
+    private final Owner owner;
+    private final Dispatcher dispatcher;
+    private final Clock clock;
+    private final Budget budget;
     private final SocketChannel channel;
     private final ArrayDeque<Object> ahead = new ArrayDeque<>();
     private State state = State.IDLE;
@@ -65,7 +90,7 @@
     private long headSince;
     private long received;
     private Exchange exchange;
-    private ServerConnection source;
+    private StreamSource source;
     private boolean keepAlive;
     /** Whether a request has ever begun here. */
     private boolean asked;
@@ -73,10 +98,13 @@
     private long unreadSince;
     private int unread;
 
-    ClientConnection(ClientServer all, SocketChannel channel) {
-        this.all = all;
+    ClientConnection(Owner owner, Dispatcher dispatcher, Clock clock, Budget budget, SocketChannel channel) {
+        this.owner = owner;
+        this.dispatcher = dispatcher;
+        this.clock = clock;
+        this.budget = budget;
         this.channel = channel;
-        this.since = all.clock.now();
+        this.since = clock.now();
     }
 
     /** Notes bytes before they are parsed: a head that trickles in shows nowhere else. */
@@ -86,8 +114,8 @@
             public void channelRead(ChannelHandlerContext context, Object message) {
                 received += message instanceof ByteBuf bytes ? bytes.readableBytes() : 0;
                 if (state == State.IDLE && headSince == 0) {
-                    headSince = all.clock.now();
-                    all.idle(ClientConnection.this, false);
+                    headSince = clock.now();
+                    owner.idle(ClientConnection.this, false);
                 }
                 context.fireChannelRead(message);
             }
@@ -104,17 +132,17 @@
 
     private void enter(State next) {
         state = next;
-        since = all.clock.now();
+        since = clock.now();
         headSince = 0;
-        all.idle(this, next == State.IDLE);
+        owner.idle(this, next == State.IDLE);
     }
 
     // ---- requests ----
 
     @Override
     public void channelActive(ChannelHandlerContext context) {
-        all.opened(this);
-        all.idle(this, true);
+        owner.opened(this);
+        owner.idle(this, true);
     }
 
     @Override
@@ -184,7 +212,7 @@
         enter(State.RECEIVING);
         String path = path(request.uri());
         if (path.equals("/ready") && request.method().equals(HttpMethod.GET)) {
-            answer(all.ready() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, 0);
+            answer(owner.ready() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, 0);
             return;
         }
         HttpResponseStatus wrong = begin(request, path);
@@ -206,7 +234,7 @@
         }
         List<String> named = request.headers().getAll(Headers.REQUEST_CLASS);
         String inPath = firstPart(path);
-        RequestClass requestClass = all.requestClass(named.isEmpty() ? inPath : named.get(0));
+        RequestClass requestClass = owner.requestClass(named.isEmpty() ? inPath : named.get(0));
         if (requestClass == null) {
             return HttpResponseStatus.NOT_FOUND;
         }
@@ -222,12 +250,12 @@
         if (length > LARGEST_BODY) {
             return HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE;
         }
-        if (all.crowded()) {
+        if (owner.crowded()) {
             keepAlive = false;
             return HttpResponseStatus.SERVICE_UNAVAILABLE;
         }
-        exchange = new Exchange(ids.get(0), requestClass, request.method(), request.uri(), request.headers(),
-            patience, new Body(all.budget, length), this);
+        exchange = new Exchange(new CallerRequest(ids.get(0), requestClass, request.method(), request.uri(),
+            request.headers(), new Body(budget, length)), patience, this);
         return null;
     }
 
@@ -258,9 +286,9 @@
     private void content(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
         if (state == State.RECEIVING && exchange != null) {
-            if (exchange.body.size() + content.content().readableBytes() > LARGEST_BODY) {
+            if (exchange.request.body().size() + content.content().readableBytes() > LARGEST_BODY) {
                 answer(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, 0);
-            } else if (!exchange.body.add(content.content())) {
+            } else if (!exchange.request.body().add(content.content())) {
                 // Nothing of it was sent on, so the client may try again when there is room.
                 answer(HttpResponseStatus.SERVICE_UNAVAILABLE, 0);
             }
@@ -270,11 +298,11 @@
         }
         if (state == State.SKIPPING) {
             answered();
-        } else if (state == State.RECEIVING && all.dispatcher.holds(exchange.id)) {
+        } else if (state == State.RECEIVING && dispatcher.holds(exchange.request.id())) {
             answer(HttpResponseStatus.BAD_REQUEST, 0);
             answered();
         } else if (state == State.RECEIVING) {
-            long time = all.timeFor(exchange);
+            long time = owner.timeFor(exchange);
             if (time == 0) {
                 // It has run nowhere, and another node has the time for it.
                 keepAlive = false;
@@ -284,7 +312,7 @@
             }
             exchange.patience = time;
             enter(State.WAITING);
-            all.dispatcher.arrived(exchange);
+            dispatcher.arrived(exchange);
         }
     }
 
@@ -307,7 +335,8 @@
 
     // ---- answers ----
 
-    void served(ServerAnswer answer) {
+    @Override
+    public void served(ServerAnswer answer) {
         ByteBuf body = answer.body().size() > 0 ? answer.body().whole() : Unpooled.EMPTY_BUFFER;
         DefaultFullHttpResponse response = new DefaultFullHttpResponse(version, HttpResponseStatus.OK, body);
         if (answer.contentType() != null) {
@@ -316,11 +345,13 @@
         finish(response);
     }
 
-    void refused(long retryAfter) {
+    @Override
+    public void refused(long retryAfter) {
         answer(HttpResponseStatus.SERVICE_UNAVAILABLE, retryAfter);
     }
 
-    void failed(boolean late) {
+    @Override
+    public void failed(boolean late) {
         answer(late ? HttpResponseStatus.GATEWAY_TIMEOUT : HttpResponseStatus.BAD_GATEWAY, 0);
     }
 
@@ -338,7 +369,7 @@
         sent(channel.writeAndFlush(response));
         if (state == State.RECEIVING) {
             if (exchange != null) {
-                exchange.body.release();
+                exchange.request.body().release();
                 exchange = null;
             }
             enter(State.SKIPPING);
@@ -348,13 +379,13 @@
     }
 
     private boolean keepsAlive() {
-        keepAlive &= !all.saysClose();
+        keepAlive &= !owner.saysClose();
         return keepAlive;
     }
 
     private void sent(ChannelFuture write) {
         unread++;
-        unreadSince = all.clock.now();
+        unreadSince = clock.now();
         write.addListener(f -> unread--);
     }
 
@@ -383,7 +414,8 @@
 
     // ---- answers that are passed on as they come ----
 
-    void streamBegins(ServerConnection from, ServerAnswer answer) {
+    @Override
+    public void streamBegins(StreamSource from, ServerAnswer answer) {
         enter(State.STREAMING);
         source = from;
         HttpResponse response = new DefaultHttpResponse(version, HttpResponseStatus.OK);
@@ -401,16 +433,19 @@
         channel.write(response);
     }
 
-    void streamed(ByteBuf bytes) {
-        unreadSince = all.clock.now();
+    @Override
+    public void streamed(ByteBuf bytes) {
+        unreadSince = clock.now();
         channel.writeAndFlush(new DefaultHttpContent(bytes));
     }
 
-    boolean takesMore() {
+    @Override
+    public boolean takesMore() {
         return channel.isWritable();
     }
 
-    void streamEnds(boolean whole) {
+    @Override
+    public void streamEnds(boolean whole) {
         source = null;
         if (whole) {
             sent(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
@@ -462,17 +497,17 @@
     public void channelInactive(ChannelHandlerContext context) {
         State before = state;
         state = State.CLOSING;
-        all.closed(this);
+        owner.closed(this);
         ahead.forEach(ReferenceCountUtil::release);
         ahead.clear();
         if (source != null) {
-            ServerConnection from = source;
+            StreamSource from = source;
             source = null;
             from.sinkGone();
         } else if (before == State.WAITING) {
-            all.dispatcher.clientGone(exchange);
+            dispatcher.clientGone(exchange);
         } else if (exchange != null) {
-            exchange.body.release();
+            exchange.request.body().release();
         }
         exchange = null;
     }
--- a/node/src/main/java/weldhitch/node/ClientServer.java
+++ b/node/src/main/java/weldhitch/node/ClientServer.java
@@ -27,7 +27,7 @@
 import weldhitch.decision.Balancing.Settings;
 import weldhitch.decision.DrainPlan;
 
-final class ClientServer {
+final class ClientServer implements ClientConnection.Owner {
     private static final int LONGEST_LINE = 8 * 1024;
     private static final int LONGEST_HEAD = 16 * 1024;
     private static final long SWEEP_MS = 250;
@@ -35,9 +35,9 @@
     private static final long MILLI = 1_000_000L;
     private static final long SURELY_IDLE = 30 * MILLI;
 
-    final Clock clock;
-    final Budget budget;
-    final Dispatcher dispatcher;
+    private final Clock clock;
+    private final Budget budget;
+    private final Dispatcher dispatcher;
     private final EventLoop loop;
     private final ByteBufAllocator allocator;
     private final BooleanSupplier ready;
@@ -74,7 +74,8 @@
             .childHandler(new ChannelInitializer<SocketChannel>() {
                 @Override
                 protected void initChannel(SocketChannel channel) {
-                    ClientConnection connection = new ClientConnection(ClientServer.this, channel);
+                    ClientConnection connection = new ClientConnection(ClientServer.this, dispatcher, clock,
+                        budget, channel);
                     channel.pipeline().addLast(connection.byteWatch(), new HttpServerCodec(new HttpDecoderConfig()
                         .setMaxInitialLineLength(LONGEST_LINE).setMaxHeaderSize(LONGEST_HEAD)
                         .setMaxChunkSize(Sockets.READ_SIZE)), connection);
@@ -85,31 +86,36 @@
         return bound;
     }
 
-    boolean ready() {
+    @Override
+    public boolean ready() {
         return !end.begun() && ready.getAsBoolean();
     }
 
     /** Whether an answer given now tells its caller to go elsewhere. */
-    boolean saysClose() {
+    @Override
+    public boolean saysClose() {
         return end.saysClose(clock.now());
     }
 
     /** How long a request whose last byte has come may take; 0 where this node ends too soon to be of use to it. */
-    long timeFor(Exchange x) {
-        return end.timeFor(clock.now(), x.patience, x.requestClass.aim());
+    @Override
+    public long timeFor(Exchange x) {
+        return end.timeFor(clock.now(), x.patience, x.request.requestClass().aim());
     }
 
     private static long longest(Settings settings, ToLongFunction<RequestClass> span) {
         return settings.classes().stream().mapToLong(span).max().orElse(0);
     }
 
-    RequestClass requestClass(String name) {
+    @Override
+    public RequestClass requestClass(String name) {
         return classes.get(name);
     }
 
     // ---- how many are open ----
 
-    void opened(ClientConnection c) {
+    @Override
+    public void opened(ClientConnection c) {
         acceptedAt = clock.now();
         open.add(c);
         makeRoom(acceptedAt);
@@ -138,7 +144,8 @@
         }
     }
 
-    void closed(ClientConnection c) {
+    @Override
+    public void closed(ClientConnection c) {
         open.remove(c);
         idle.remove(c);
         if (open.size() < budget.clients && listener.isOpen()) {
@@ -147,11 +154,13 @@
     }
 
     /** Whether so many clients have requests under way that a further one is turned away. */
-    boolean crowded() {
+    @Override
+    public boolean crowded() {
         return open.size() - idle.size() > budget.servedClients;
     }
 
-    void idle(ClientConnection c, boolean isIdle) {
+    @Override
+    public void idle(ClientConnection c, boolean isIdle) {
         if (isIdle) {
             idle.add(c);
         } else {
--- a/node/src/main/java/weldhitch/node/Dispatcher.java
+++ b/node/src/main/java/weldhitch/node/Dispatcher.java
@@ -9,7 +9,7 @@
 import weldhitch.decision.Balancing.*;
 import weldhitch.decision.RatioBalancer;
 
-final class Dispatcher {
+final class Dispatcher implements AttemptListener {
     private static final long GUARD = 8_000_000L;
 
     private final Clock clock;
@@ -50,17 +50,18 @@
     void arrived(Exchange x) {
         long now = clock.now();
         x.deadline = now + x.patience;
-        exchanges.put(x.id, x);
+        exchanges.put(x.request.id(), x);
         unanswered++;
         // Guards against a request that the module forgot, or lost to a fault of its own.
         x.guard = loop.schedule(() -> overdue(x), x.patience + GUARD, TimeUnit.NANOSECONDS);
-        tell(new Arrival(x.id, x.requestClass.name(), x.deadline, x.headers.get("X-Customer"), hintedCost(x),
-            "1".equals(x.headers.get("X-Second-Try"))));
+        CallerRequest r = x.request;
+        tell(new Arrival(r.id(), r.requestClass().name(), x.deadline, r.headers().get("X-Customer"), hintedCost(r),
+            "1".equals(r.headers().get("X-Second-Try"))));
     }
 
     /** The caller's guess at the work, given in microseconds, as seconds; 0 where it gives none that makes sense. */
-    private static double hintedCost(Exchange x) {
-        String hint = x.headers.get("X-Size-Hint");
+    private static double hintedCost(CallerRequest x) {
+        String hint = x.headers().get("X-Size-Hint");
         try {
             double cost = hint == null ? 0 : Double.parseDouble(hint) / 1e6;
             return cost > 0 && cost < 1e6 ? cost : 0;
@@ -71,41 +72,39 @@
 
     void clientGone(Exchange x) {
         if (finish(x)) {
-            tell(new ClientGone(x.id));
+            tell(new ClientGone(x.request.id()));
             forget(x);
         }
     }
 
-    /**
-     * A server's answer that is passed on as it comes has begun; from here on the client has its final answer.
-     * False where it has one already.
-     */
-    boolean streamBegins(Attempt attempt) {
-        if (!finish(attempt.exchange)) {
-            return false;
+    /** From here on the client has its final answer. */
+    @Override
+    public StreamSink streamBegins(Attempt attempt) {
+        Exchange x = exchanges.get(attempt.request.id());
+        if (!finish(x)) {
+            return null;
         }
         attempt.streaming = true;
         stopTimer(attempt);
-        tell(new FirstByte(attempt.exchange.id, attempt.number, attempt.server, clock.now() - attempt.sentAt));
-        return true;
+        tell(new FirstByte(x.request.id(), attempt.number, attempt.server, clock.now() - attempt.sentAt));
+        return x.caller;
     }
 
-    /** The end of an attempt; {@code answer} is the whole body of an OK that was held back until now. */
-    void ended(Attempt attempt, Outcome outcome, ServerAnswer answer) {
+    @Override
+    public void ended(Attempt attempt, Outcome outcome, ServerAnswer answer) {
         if (attempt.ended) {
             return;
         }
         attempt.ended = true;
-        attempt.connection = null;
-        attempt.dial = null;
+        attempt.carrier = null;
         stopTimer(attempt);
-        Exchange x = attempt.exchange;
+        Exchange x = exchanges.get(attempt.request.id());
         x.out--;
         if (outcome == Outcome.OK && answer != null && finish(x)) {
-            x.client.served(answer);
+            x.caller.served(answer);
         }
         // Load reports are not passed on: the module takes no account of them.
-        tell(new AttemptEnded(x.id, attempt.number, attempt.server, outcome, clock.now() - attempt.sentAt, x.over,
+        tell(new AttemptEnded(x.request.id(), attempt.number, attempt.server, outcome, clock.now() - attempt.sentAt, x.over,
             null));
         forget(x);
     }
@@ -116,10 +115,10 @@
 
     private void overdue(Exchange x) {
         if (!x.over) {
-            Log.line("request " + x.id + " was left unanswered until its deadline");
+            Log.line("request " + x.request.id() + " was left unanswered until its deadline");
             finish(x);
-            x.client.failed(true);
-            tell(new ClientGone(x.id));
+            x.caller.failed(true);
+            tell(new ClientGone(x.request.id()));
             forget(x);
         }
     }
@@ -171,13 +170,13 @@
         } else if (action instanceof Refuse refuse) {
             Exchange x = exchanges.get(refuse.request());
             if (x != null && finish(x)) {
-                x.client.refused(refuse.retryAfter());
+                x.caller.refused(refuse.retryAfter());
                 forget(x);
             }
         } else if (action instanceof Fail fail) {
             Exchange x = exchanges.get(fail.request());
             if (x != null && finish(x)) {
-                x.client.failed(clock.now() >= x.deadline);
+                x.caller.failed(clock.now() >= x.deadline);
                 forget(x);
             }
         } else if (action instanceof Subscribe) {
@@ -194,7 +193,7 @@
         }
         long now = clock.now();
         long until = send.timeout() > 0 ? Math.min(x.deadline, now + send.timeout()) : x.deadline;
-        Attempt attempt = new Attempt(x, x.attempts.size(), send.server(), now, until);
+        Attempt attempt = new Attempt(x.request, x.attempts.size(), send.server(), now, until);
         x.attempts.add(attempt);
         x.out++;
         if (x.over || now >= until || attempt.number >= limits.maxAttempts()) {
@@ -231,8 +230,8 @@
     }
 
     private void forget(Exchange x) {
-        if (x.over && x.out == 0 && exchanges.remove(x.id, x)) {
-            x.body.release();
+        if (x.over && x.out == 0 && exchanges.remove(x.request.id(), x)) {
+            x.request.body().release();
         }
     }
 
--- a/node/src/main/java/weldhitch/node/Headers.java
+++ b/node/src/main/java/weldhitch/node/Headers.java
@@ -20,19 +20,19 @@
     private Headers() {
     }
 
-    static HttpHeaders forServer(Exchange x, long nanosLeft) {
+    static HttpHeaders forServer(CallerRequest x, long nanosLeft) {
         HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().withValidation(false).newHeaders();
-        headers.set(HttpHeaderNames.HOST, x.headers.get(HttpHeaderNames.HOST, "app.svc"));
-        String named = x.headers.get(HttpHeaderNames.CONNECTION, "").toLowerCase(Locale.ROOT);
-        for (Map.Entry<String, String> header : x.headers) {
+        headers.set(HttpHeaderNames.HOST, x.headers().get(HttpHeaderNames.HOST, "app.svc"));
+        String named = x.headers().get(HttpHeaderNames.CONNECTION, "").toLowerCase(Locale.ROOT);
+        for (Map.Entry<String, String> header : x.headers()) {
             String name = header.getKey().toLowerCase(Locale.ROOT);
             if (!NOT_PASSED_ON.contains(name) && (named.isEmpty() || !namedIn(named, name))) {
                 headers.add(header.getKey(), header.getValue());
             }
         }
         headers.set(EXPIRES_IN, seconds(Math.max(0, nanosLeft)));
-        if (x.body.size() > 0 || x.method.equals(HttpMethod.POST)) {
-            headers.set(HttpHeaderNames.CONTENT_LENGTH, x.body.size());
+        if (x.body().size() > 0 || x.method().equals(HttpMethod.POST)) {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, x.body().size());
         }
         return headers;
     }
--- a/node/src/main/java/weldhitch/node/ServerConnection.java
+++ b/node/src/main/java/weldhitch/node/ServerConnection.java
@@ -22,7 +22,18 @@
 import java.util.concurrent.TimeUnit;
 import weldhitch.decision.Balancing.Outcome;
 
-final class ServerConnection extends ChannelInboundHandlerAdapter {
+final class ServerConnection extends ChannelInboundHandlerAdapter
+        implements StreamSource, Attempt.Carrier {
+    /** The pool that a connection belongs to. */
+    interface Owner {
+        void release(ServerConnection connection);
+
+        void closed(ServerConnection connection);
+
+        /** A connection that had been used before broke as soon as it was used again. */
+        void brokenOnReuse();
+    }
+
     /**
      * Answers up to this are held whole, so that a broken one can be tried again. Longer ones pass through where their
      * class is streamed; elsewhere no body is longer, and one that claims to be is spoilt.
@@ -45,7 +56,10 @@
     long idleSince;
     private int uses;
     private long startedAt;
-    private final ServerConnections all;
+    private final Owner owner;
+    private final AttemptListener listener;
+    private final Clock clock;
+    private final Budget budget;
     private final HeadLines headLines = new HeadLines();
     /** The attempt that waits for its outcome, or null. */
     private Attempt attempt;
@@ -58,11 +72,15 @@
     private int skipped;
     private ServerAnswer answer;
     private boolean passOn;
-    private ClientConnection sink;
+    private StreamSink sink;
     private long progressAt;
 
-    ServerConnection(ServerConnections all, String server, Channel channel) {
-        this.all = all;
+    ServerConnection(Owner owner, AttemptListener listener, Clock clock, Budget budget, String server,
+            Channel channel) {
+        this.owner = owner;
+        this.listener = listener;
+        this.clock = clock;
+        this.budget = budget;
         this.server = server;
         this.channel = channel;
     }
@@ -94,37 +112,37 @@
 
     void start(Attempt next) {
         attempt = next;
-        next.connection = this;
+        next.carrier = this;
         exchanging = true;
         requestWritten = false;
         answering = false;
         reusable = false;
         skipped = 0;
         nextPiece = 0;
-        progressAt = all.clock.now();
+        progressAt = clock.now();
         startedAt = progressAt;
         headLines.expect();
         uses++;
-        Exchange x = next.exchange;
+        CallerRequest x = next.request;
         HttpHeaders headers = Headers.forServer(x, next.until - progressAt);
-        if (x.body.size() <= HELD) {
-            ByteBuf body = x.body.size() == 0 ? Unpooled.EMPTY_BUFFER : x.body.whole();
-            channel.writeAndFlush(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, x.method, x.uri, body, headers,
+        if (x.body().size() <= HELD) {
+            ByteBuf body = x.body().size() == 0 ? Unpooled.EMPTY_BUFFER : x.body().whole();
+            channel.writeAndFlush(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, x.method(), x.uri(), body, headers,
                 EmptyHttpHeaders.INSTANCE)).addListener(f -> written(next, f.isSuccess()));
         } else {
-            channel.write(new DefaultHttpRequest(HttpVersion.HTTP_1_1, x.method, x.uri, headers));
+            channel.write(new DefaultHttpRequest(HttpVersion.HTTP_1_1, x.method(), x.uri(), headers));
             writePieces();
         }
     }
 
     private void writePieces() {
         Attempt current = attempt;
-        while (current != null && attempt == current && nextPiece < current.exchange.body.pieces()
+        while (current != null && attempt == current && nextPiece < current.request.body().pieces()
                 && channel.isWritable()) {
             int index = nextPiece++;
-            boolean last = nextPiece == current.exchange.body.pieces();
-            progressAt = all.clock.now();
-            channel.writeAndFlush(new DefaultHttpContent(current.exchange.body.piece(index)));
+            boolean last = nextPiece == current.request.body().pieces();
+            progressAt = clock.now();
+            channel.writeAndFlush(new DefaultHttpContent(current.request.body().piece(index)));
             if (last) {
                 channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
                     .addListener(f -> written(current, f.isSuccess()));
@@ -136,7 +154,7 @@
         if (success && attempt == of) {
             of.written = true;
             requestWritten = true;
-            progressAt = all.clock.now();
+            progressAt = clock.now();
         } else if (!success) {
             channel.close();
         }
@@ -154,7 +172,7 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
-            progressAt = all.clock.now();
+            progressAt = clock.now();
             if (!exchanging) {
                 close();
                 return;
@@ -191,14 +209,14 @@
         reusable = HttpUtil.isKeepAlive(response);
         if (status == 200) {
             long length = HttpUtil.getContentLength(response, -1L);
-            if (length > HELD && attempt != null && !attempt.exchange.requestClass.streamed()) {
+            if (length > HELD && attempt != null && !attempt.request.requestClass().streamed()) {
                 spoilt();
                 return;
             }
             answer = new ServerAnswer(response.headers().get(HttpHeaderNames.CONTENT_TYPE), length,
-                new Body(all.budget, length));
+                new Body(budget, length));
             passOn = false;
-            if (length < 0 && attempt != null && attempt.exchange.requestClass.streamed()) {
+            if (length < 0 && attempt != null && attempt.request.requestClass().streamed()) {
                 ServerAnswer held = answer;
                 channel.eventLoop().schedule(() -> heldLongEnough(held), HELD_UNSIZED_FOR, TimeUnit.NANOSECONDS);
             }
@@ -230,7 +248,7 @@
     }
 
     private void hold(ByteBuf bytes) {
-        if (!attempt.exchange.requestClass.streamed()) {
+        if (!attempt.request.requestClass().streamed()) {
             if (answer.body().size() + bytes.readableBytes() > HELD || !answer.body().add(bytes)) {
                 spoilt();
             }
@@ -253,11 +271,14 @@
     }
 
     private void passOn(ByteBuf bytes) {
-        ClientConnection client = attempt.exchange.client;
-        if (!bytes.isReadable() && answer.body().size() == 0 || !all.dispatcher.streamBegins(attempt)) {
+        if (!bytes.isReadable() && answer.body().size() == 0) {
             return;
         }
-        sink = client;
+        StreamSink to = listener.streamBegins(attempt);
+        if (to == null) {
+            return;
+        }
+        sink = to;
         sink.streamBegins(this, answer);
         if (answer.body().size() > 0) {
             sink.streamed(answer.body().whole());
@@ -278,7 +299,7 @@
     }
 
     private void complete() {
-        ClientConnection to = sink;
+        StreamSink to = sink;
         sink = null;
         if (to != null) {
             to.streamEnds(true);
@@ -288,7 +309,7 @@
         answering = false;
         if (reusable && requestWritten && channel.isActive()) {
             channel.config().setAutoRead(true);
-            all.release(this);
+            owner.release(this);
         } else {
             close();
         }
@@ -298,7 +319,7 @@
     private void end(Outcome outcome) {
         Attempt current = attempt;
         ServerAnswer held = answer;
-        ClientConnection to = sink;
+        StreamSink to = sink;
         attempt = null;
         answer = null;
         sink = null;
@@ -306,28 +327,28 @@
             to.streamEnds(false);
         }
         if (current != null) {
-            all.dispatcher.ended(current, outcome, current.streaming ? null : held);
+            listener.ended(current, outcome, current.streaming ? null : held);
         }
         if (held != null) {
             held.body().release();
         }
     }
 
-    /** The attempt is given up by its owner, who says how it ended. */
-    void abandon() {
+    @Override
+    public void abandon() {
         attempt = null;
         end(Outcome.CANCELLED);
         close();
     }
 
-    /** The client of the stream has room again. */
-    void resume() {
-        progressAt = all.clock.now();
+    @Override
+    public void resume() {
+        progressAt = clock.now();
         channel.config().setAutoRead(true);
     }
 
-    /** The client of the stream has gone. */
-    void sinkGone() {
+    @Override
+    public void sinkGone() {
         sink = null;
         end(Outcome.CANCELLED);
         close();
@@ -344,11 +365,11 @@
 
     private void broken() {
         if (attempt != null && attempt.written) {
-            if (uses > 1 && !answering && all.clock.now() - startedAt < AT_ONCE) {
-                all.brokenOnReuse();
+            if (uses > 1 && !answering && clock.now() - startedAt < AT_ONCE) {
+                owner.brokenOnReuse();
             }
             Log.line("server " + server + " broke off request " + uses + " of a connection, "
-                + (all.clock.now() - startedAt) / MILLI + " ms after its start, idle before for "
+                + (clock.now() - startedAt) / MILLI + " ms after its start, idle before for "
                 + (uses > 1 ? (startedAt - idleSince) / MILLI : 0) + " ms");
         }
         end(attempt != null && !attempt.written ? Outcome.CONNECT_FAILED : Outcome.RESET);
@@ -357,7 +378,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         broken();
-        all.closed(this);
+        owner.closed(this);
     }
 
     @Override
--- a/node/src/main/java/weldhitch/node/ServerConnections.java
+++ b/node/src/main/java/weldhitch/node/ServerConnections.java
@@ -23,16 +23,16 @@
 import weldhitch.decision.Balancing.Outcome;
 import weldhitch.decision.Balancing.ServerState;
 
-final class ServerConnections {
+final class ServerConnections implements ServerConnection.Owner {
     private static final double IDLE_SHARE = 0.7;
     static final long FRESH = 100_000_000L;
     private static final long WARY = 10_000_000_000L;
     private static final int MOST_IDLE = 16;
     private static final long SWEEP_MS = 250;
 
-    final Clock clock;
-    final Budget budget;
-    final Dispatcher dispatcher;
+    private final Clock clock;
+    private final Budget budget;
+    private final AttemptListener listener;
     private final Bootstrap bootstrap;
     private final long mostIdle;
     private final Map<String, Peer> peers = new HashMap<>();
@@ -49,10 +49,10 @@
     }
 
     ServerConnections(EventLoop loop, ByteBufAllocator allocator, Clock clock, Budget budget,
-            Dispatcher dispatcher, long keepalive, long dialTimeout) {
+            AttemptListener listener, long keepalive, long dialTimeout) {
         this.clock = clock;
         this.budget = budget;
-        this.dispatcher = dispatcher;
+        this.listener = listener;
         mostIdle = (long) (IDLE_SHARE * keepalive);
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
             .option(ChannelOption.ALLOCATOR, allocator)
@@ -112,12 +112,12 @@
     void send(Attempt attempt) {
         Peer peer = peers.get(attempt.server);
         if (peer == null) {
-            dispatcher.ended(attempt, Outcome.CONNECT_FAILED, null);
+            listener.ended(attempt, Outcome.CONNECT_FAILED, null);
             return;
         }
         long now = clock.now();
         long oldest = mostIdle;
-        if (attempt.exchange.requestClass.effect() != Effect.SAFE) {
+        if (attempt.request.requestClass().effect() != Effect.SAFE) {
             oldest = now < waryUntil ? 0 : FRESH;
         }
         for (ServerConnection c = peer.idle.pollFirst(); c != null; c = peer.idle.pollFirst()) {
@@ -132,7 +132,7 @@
 
     private void dial(Peer peer, Attempt attempt) {
         if (descriptors >= budget.servers && !closeOldestIdle()) {
-            dispatcher.ended(attempt, Outcome.CONNECT_FAILED, null);
+            listener.ended(attempt, Outcome.CONNECT_FAILED, null);
             return;
         }
         descriptors++;
@@ -140,16 +140,16 @@
         // The one place that gives a descriptor back: a dial that fails or is given up ends here like a connection.
         // Without it the budget is spent for good after so many dials, and each later one fails unsent.
         dial.channel().closeFuture().addListener(f -> descriptors--);
-        attempt.dial = dial;
+        attempt.carrier = dial.channel()::close;
         dial.addListener(f -> {
             if (attempt.ended) {
                 dial.channel().close();
             } else if (!f.isSuccess()) {
                 dial.channel().close();
-                dispatcher.ended(attempt, Outcome.CONNECT_FAILED, null);
+                listener.ended(attempt, Outcome.CONNECT_FAILED, null);
             } else {
-                attempt.dial = null;
-                ServerConnection c = new ServerConnection(this, attempt.server, dial.channel());
+                ServerConnection c = new ServerConnection(this, listener, clock, budget, attempt.server,
+                    dial.channel());
                 open.add(c);
                 dial.channel().pipeline().addFirst(c.headWatch()).addLast(c);
                 c.start(attempt);
@@ -158,20 +158,20 @@
     }
 
     void giveUp(Attempt attempt) {
-        if (attempt.dial != null) {
-            attempt.dial.channel().close();
-        } else if (attempt.connection != null) {
-            attempt.connection.abandon();
+        if (attempt.carrier != null) {
+            attempt.carrier.abandon();
         }
     }
 
     // ---- the pool ----
 
-    void brokenOnReuse() {
+    @Override
+    public void brokenOnReuse() {
         waryUntil = clock.now() + WARY;
     }
 
-    void release(ServerConnection c) {
+    @Override
+    public void release(ServerConnection c) {
         Peer peer = peers.get(c.server);
         if (peer == null || !c.channel.remoteAddress().equals(peer.address)) {
             c.close();
@@ -184,7 +184,8 @@
         }
     }
 
-    void closed(ServerConnection c) {
+    @Override
+    public void closed(ServerConnection c) {
         open.remove(c);
         Peer peer = peers.get(c.server);
         if (peer != null) {
--- a/node/src/test/java/weldhitch/HouseTest.java
+++ b/node/src/test/java/weldhitch/HouseTest.java
@@ -4,10 +4,13 @@
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
 import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
 
+import com.tngtech.archunit.core.domain.JavaClass;
 import com.tngtech.archunit.core.importer.ImportOption;
 import com.tngtech.archunit.junit.AnalyzeClasses;
 import com.tngtech.archunit.junit.ArchTest;
 import com.tngtech.archunit.lang.ArchRule;
+import com.tngtech.archunit.library.dependencies.SliceAssignment;
+import com.tngtech.archunit.library.dependencies.SliceIdentifier;
 
 /** The borders of the house: what may use what. */
 @AnalyzeClasses(packages = "weldhitch", importOptions = ImportOption.DoNotIncludeTests.class)
@@ -37,4 +40,19 @@
     static final ArchRule theTestkitIsForTests = noClasses()
         .that().resideOutsideOfPackage("weldhitch.testkit..")
         .should().dependOnClassesThat().resideInAPackage("weldhitch.testkit..");
+
+    /** Inside the node too a request's way reads downward, and answers come back through narrow interfaces. */
+    @ArchTest
+    static final ArchRule noCirclesBetweenTheNodesClasses = slices().assignedFrom(new SliceAssignment() {
+        @Override
+        public SliceIdentifier getIdentifierOf(JavaClass javaClass) {
+            String name = javaClass.getName().replaceFirst("\\$.*", "");
+            return name.startsWith("weldhitch.node.") ? SliceIdentifier.of(name) : SliceIdentifier.ignore();
+        }
+
+        @Override
+        public String getDescription() {
+            return "classes of the node with what is nested in them";
+        }
+    }).should().beFreeOfCycles();
 }
