--- /dev/null
+++ b/testkit/src/test/java/weldhitch/testkit/RuleKeeperTest.java
@@ -0,0 +1,65 @@
+package weldhitch.testkit;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** A caller that held everyone to the rules and noticed nothing would hold nobody: each breach is shown to it. */
+class RuleKeeperTest {
+    private static final String UNSAFE = "POST /x HTTP/1.1\r\nX-Trace-Id: %s\r\nContent-Length: 0\r\n\r\n";
+    private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx";
+
+    /** What a node of this behaviour is found to have broken. */
+    private static List<String> broken(String answer, int executions) throws Exception {
+        try (HttpUpstream server = new HttpUpstream("s");
+                Peer node = new Peer(wire -> {
+                    wire.message();
+                    wire.write(answer);
+                    wire.close();
+                });
+                RuleKeeper caller = new RuleKeeper(port(node.address()))) {
+            for (int i = 0; i < executions; i++) {
+                try (Wire direct = new Wire(new java.net.Socket("127.0.0.1", port(server.address())))) {
+                    direct.write(UNSAFE.formatted("r"));
+                    direct.message();
+                }
+            }
+            caller.ask("r", true, UNSAFE.formatted("r"));
+            return caller.broken(List.of(server));
+        }
+    }
+
+    private static int port(String address) {
+        return Integer.parseInt(address.substring(address.indexOf(':') + 1));
+    }
+
+    @Test
+    void findsNothingWhereAllIsKept() throws Exception {
+        assertEquals(List.of(), broken(OK, 1));
+        assertEquals(List.of(), broken(OK.replace("200 OK", "503 x"), 0));
+        assertEquals(List.of(), broken(OK.replace("200 OK", "502 x"), 1));
+    }
+
+    @Test
+    void findsEachBreach() throws Exception {
+        assertEquals(List.of("r: no final answer"), broken("", 0));
+        assertEquals(List.of("r: " + OK.length() + " bytes behind its final answer"), broken(OK + OK, 1));
+        assertEquals(List.of("r: unsafe and run 2 times"), broken(OK, 2));
+        assertEquals(List.of("r: refused with 503 and run"), broken(OK.replace("200 OK", "503 x"), 1));
+        assertEquals(List.of("r: served and never run"), broken(OK, 0));
+    }
+
+    @Test
+    void findsWhatIsSentAfterADrain() throws Exception {
+        try (HttpUpstream server = new HttpUpstream("s");
+                Wire direct = new Wire(new java.net.Socket("127.0.0.1", port(server.address())))) {
+            long told = System.nanoTime();
+            direct.write(UNSAFE.formatted("late"));
+            direct.message();
+            assertEquals(1, RuleKeeper.sentAfterDrain(server, told, 0).size());
+            assertTrue(RuleKeeper.sentAfterDrain(server, told, 60_000_000_000L).isEmpty());
+        }
+    }
+}
