End a drained node once every deadline has passed, whoever keeps a connection

Cause: a client that is told to go and does not close its side held its connection, and so the process, for 2 s after its last answer: 4.0 s after SIGTERM with deadlines of 3 s, where the platform kills from 3.7 s on. Change: past the last deadline, with nothing unanswered, what is still open is closed.

--- a/decision/src/main/java/weldhitch/decision/DrainPlan.java
+++ b/decision/src/main/java/weldhitch/decision/DrainPlan.java
@@ -15,6 +15,8 @@
     private static final long MILLI = 1_000_000L;
     /** How long after the longest deadline the process is sure to live, less room for a late timer and the exit. */
     private static final long AFTER_LONGEST = 500 * MILLI;
+    /** By how much an answer that is given at its deadline may be late. */
+    private static final long LATE_TIMERS = 50 * MILLI;
     /** New connections go on coming for so long, as those who deal them out hear of the end late. */
     private static final long LISTEN_ON = 500 * MILLI;
     private static final long QUIET = 250 * MILLI;
@@ -73,6 +75,11 @@
         return left < wanted ? 0 : Math.min(left, patience);
     }
 
+    /** Whether every deadline has passed: what is still open waits for clients that don't close, and may be closed. */
+    public boolean over(long now) {
+        return begun && now >= end() + LATE_TIMERS;
+    }
+
     /**
      * Whether new connections are still accepted: as long as callers keep any open and are not told to go, and in any
      * case while those who deal them out may not have heard. {@code acceptedAt} is when the last one came.
--- a/decision/src/test/java/weldhitch/decision/DrainPlanTest.java
+++ b/decision/src/test/java/weldhitch/decision/DrainPlanTest.java
@@ -67,6 +67,14 @@
         assertFalse(plan.listens(at(1900), 0, 3));
     }
 
+    @Test
+    void isOverOnceEveryDeadlineHasPassedAndBeforeThePlatformKills() {
+        assertFalse(plan.over(at(60_000)));
+        plan.begin(TOLD);
+        assertFalse(plan.over(at(3500)));
+        assertTrue(plan.over(at(3550)));
+    }
+
     @Test
     void aSecondWordToEndChangesNothing() {
         plan.begin(TOLD);
--- a/node/src/test/java/weldhitch/node/DrainTest.java
+++ b/node/src/test/java/weldhitch/node/DrainTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
 import weldhitch.testkit.Message;
 import weldhitch.testkit.Peer;
@@ -87,4 +88,29 @@
             assertTrue(!drain.isAlive(), "the node does not end by itself");
         }
     }
+
+    /** A client that never closes its side kept the node for 2 s more, past the time at which the platform kills it. */
+    @Test
+    void endsOnceEveryDeadlineHasPassedThoughAClientDoesNotClose() throws Exception {
+        Peer server = Peer.answering(m -> ok("x"));
+        Peer discovery = Harness.discovery(Harness.host("s", server.address()));
+        byte[] config = new String(Harness.config(discovery.address(), Harness.host("s", server.address()), 1024, ""),
+            StandardCharsets.UTF_8).replace("\"aimS\":4.0", "\"aimS\":0.2").replace("\"deadlineS\":8.0", "\"deadlineS\":1.0")
+            .getBytes(StandardCharsets.UTF_8);
+        try (server; discovery; Harness h = Harness.start(config); Wire stays = h.client()) {
+            stays.write(get("first"));
+            assertEquals(200, stays.message().status());
+            Thread drain = Tests.daemon(h.node::drain);
+            long told;
+            int asked = 0;
+            do {
+                stays.write(get("n" + asked++));
+                told = System.nanoTime();
+            } while (!"close".equals(stays.message().field("connection")));
+            drain.join(Tests.WAIT_S * 1000L);
+            assertTrue(!drain.isAlive(), "the node does not end by itself");
+            // 0.7 s by its plan; by the patience with such a client alone it would be 2 s at the least.
+            assertTrue(System.nanoTime() - told < 1_900_000_000L, "kept by a client that does not close");
+        }
+    }
 }
