Let a stream that has begun go on past a drain's last deadline

Cause: found on reading the change. Past the last deadline a draining node closed all that was open, and an answer that is passed on as it comes counts as given once it has begun: a long stream would have been cut. Change: only connections that have their answer, wholly read, and wait for nothing but the client's own close are closed then. Measured: a loopback stream that pauses past every deadline arrives whole; with the close as it was its last 30,000 bytes are missing.

--- a/decision/src/main/java/weldhitch/decision/AdmissionLimit.java
+++ b/decision/src/main/java/weldhitch/decision/AdmissionLimit.java
@@ -73,9 +73,7 @@
         starting = false;
     }
 
-    /**
-     * A request was turned away as full by a second server in a row: more is let in than they hold.
-     */
+    /** A request was turned away as full by a second server in a row: more is let in than they hold. */
     void turnedAwayAgain() {
         lower();
     }
--- a/decision/src/main/java/weldhitch/decision/DrainPlan.java
+++ b/decision/src/main/java/weldhitch/decision/DrainPlan.java
@@ -75,7 +75,7 @@
         return left < wanted ? 0 : Math.min(left, patience);
     }
 
-    /** Whether every deadline has passed: what is still open waits for clients that don't close, and may be closed. */
+    /** Whether every deadline has passed: clients that have their answer and don't close are waited for no longer. */
     public boolean over(long now) {
         return begun && now >= end() + LATE_TIMERS;
     }
--- a/node/src/main/java/weldhitch/node/ClientConnection.java
+++ b/node/src/main/java/weldhitch/node/ClientConnection.java
@@ -412,6 +412,13 @@
         channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> channel.shutdownOutput());
     }
 
+    /** Closes where the answer is given and read, and nothing but the client's own close is waited for. */
+    void lingerNoLonger() {
+        if (state == State.CLOSING && unread == 0) {
+            close();
+        }
+    }
+
     // ---- answers that are passed on as they come ----
 
     @Override
--- a/node/src/main/java/weldhitch/node/ClientServer.java
+++ b/node/src/main/java/weldhitch/node/ClientServer.java
@@ -204,10 +204,9 @@
                 c.close();
             }
         }
-        if (end.over(now) && dispatcher.unanswered() == 0) {
-            // They have their answers and were told to go; the platform does not wait for them either.
+        if (end.over(now)) {
             for (ClientConnection c : open.toArray(new ClientConnection[0])) {
-                c.close();
+                c.lingerNoLonger();
             }
         }
         if (!listener.isOpen() && open.isEmpty() && dispatcher.unanswered() == 0) {
--- a/node/src/test/java/weldhitch/node/DrainTest.java
+++ b/node/src/test/java/weldhitch/node/DrainTest.java
@@ -4,6 +4,7 @@
 import static weldhitch.node.Harness.ok;
 import static weldhitch.node.Harness.post;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
@@ -94,9 +95,7 @@
     void endsOnceEveryDeadlineHasPassedThoughAClientDoesNotClose() throws Exception {
         Peer server = Peer.answering(m -> ok("x"));
         Peer discovery = Harness.discovery(Harness.host("s", server.address()));
-        byte[] config = new String(Harness.config(discovery.address(), Harness.host("s", server.address()), 1024, ""),
-            StandardCharsets.UTF_8).replace("\"aimS\":4.0", "\"aimS\":0.2").replace("\"deadlineS\":8.0", "\"deadlineS\":1.0")
-            .getBytes(StandardCharsets.UTF_8);
+        byte[] config = shortDeadlines(discovery, server);
         try (server; discovery; Harness h = Harness.start(config); Wire stays = h.client()) {
             stays.write(get("first"));
             assertEquals(200, stays.message().status());
@@ -113,4 +112,49 @@
             assertTrue(System.nanoTime() - told < 1_900_000_000L, "kept by a client that does not close");
         }
     }
+
+    private static byte[] shortDeadlines(Peer discovery, Peer server) {
+        return new String(Harness.config(discovery.address(), Harness.host("s", server.address()), 1024, ""),
+            StandardCharsets.UTF_8).replace("\"aimS\":4.0", "\"aimS\":0.2").replace("\"deadlineS\":8.0", "\"deadlineS\":1.0")
+            .getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** A stream has begun within its deadline and may go on past all of them: it is passed on whole. */
+    @Test
+    void aStreamThatHasBegunOutlastsEveryDeadline() throws Exception {
+        CountDownLatch last = new CountDownLatch(1);
+        Peer server = new Peer(wire -> {
+            for (String head = wire.head(); head != null; head = wire.head()) {
+                if (head.startsWith("GET /feed")) {
+                    wire.write("HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + "a".repeat(70_000));
+                    last.await();
+                    wire.write("b".repeat(30_000));
+                } else {
+                    wire.write(ok("x"));
+                }
+            }
+        });
+        Peer discovery = Harness.discovery(Harness.host("s", server.address()));
+        try (server; discovery; Harness h = Harness.start(shortDeadlines(discovery, server)); Wire stays = h.client();
+                Wire stream = h.client()) {
+            stream.write(Harness.feed("feed"));
+            assertEquals("HTTP/1.1 200 OK", stream.head().lines().findFirst().orElseThrow());
+            assertEquals("a".repeat(70_000), new String(stream.bytes(70_000), StandardCharsets.UTF_8));
+            Thread drain = Tests.daemon(h.node::drain);
+            int asked = 0;
+            do {
+                stays.write(get("n" + asked++));
+            } while (!"close".equals(stays.message().field("connection")));
+            // The one that lingers is closed once every deadline has passed: only then does a write find it gone.
+            assertThrows(java.io.IOException.class, () -> {
+                while (true) {
+                    stays.write("x");
+                }
+            });
+            last.countDown();
+            assertEquals("b".repeat(30_000), new String(stream.bytes(30_000), StandardCharsets.UTF_8));
+            drain.join(Tests.WAIT_S * 1000L);
+            assertTrue(!drain.isAlive(), "the node does not end by itself");
+        }
+    }
 }
