--- a/decision/src/main/java/weldhitch/decision/AdmissionLimit.java
+++ b/decision/src/main/java/weldhitch/decision/AdmissionLimit.java
@@ -11,6 +11,7 @@
     private static final double FIRST_PER_SERVER = 6;
     /** The share of answers past their aim at which the limit stays where it is. */
     private static final double LATE_SHARE = 0.1;
+    private static final int SLOW_ENOUGH = 4;
 
     private double limit = LEAST;
     private int admitted;
@@ -18,6 +19,10 @@
     private boolean learning;
     /** Whether nothing has yet told that servers have enough. */
     private boolean starting = true;
+    /** The quickest answer so far, as a share of its aim. */
+    private double quickest = Double.MAX_VALUE;
+    /** By how many the slow answers of the slow start outnumber the quick ones, never below 0. */
+    private int slow;
     /** The strength of the servers that the limit stands for. */
     private double learnedOver = 1;
 
@@ -56,10 +61,17 @@
      *
      * <p>A node that has just started guesses low, and may be the only one: until the first sign that servers have
      * enough, each answer raises it by one, so that it doubles with each round trip (slow start, RFC 5681 section
-     * 3.1). An answer that took half its aim is such a sign, as one turned away as full is.
+     * 3.1). One turned away as full is such a sign; so are answers that took half their aim and twice what the
+     * quickest took, once they outnumber the others by {@value #SLOW_ENOUGH}. By itself a slow answer says little:
+     * the first ones of a fresh fleet are slow with nothing else to do (RFC 9406 section 4.2 asks for eight).
      */
     void answered(long taken, long aim) {
-        starting &= 2 * taken < aim;
+        if (starting) {
+            double share = (double) taken / aim;
+            quickest = Math.min(quickest, share);
+            slow = Math.max(0, slow + (share >= 0.5 && share >= 2 * quickest ? 1 : -1));
+            starting = slow < SLOW_ENOUGH;
+        }
         if (taken > aim) {
             lower();
         } else if (admitted >= OPEN_TO_ALL * limit) {
