--- a/decision/src/main/java/weldhitch/decision/Balancing.java
+++ b/decision/src/main/java/weldhitch/decision/Balancing.java
@@ -127,16 +127,27 @@
 
     /** Something the node is told. */
     public sealed interface Event permits Membership, Arrival, FirstByte, AttemptEnded, ClientGone, Timer,
-            Probed {
+            Probed, NewRoutes {
+    }
+
+    /** From here on requests that arrive go by these routes; none where null. Those under way keep their rules. */
+    public record NewRoutes(Routes routes) implements Event {
     }
 
     /** News of the server list. */
     public record Membership(ListKind kind, List<ServerEntry> entries) implements Event {
     }
 
-    /** A request landed here; {@code cost} is a hint of its work in seconds, 0 for none. */
+    /**
+     * A request landed here; {@code cost} is a hint of its work in seconds, 0 for none. Method and target are what
+     * routes go by, null where there are none.
+     */
     public record Arrival(String request, String requestClass, long deadline, String tenant, double cost,
-            boolean clientRetry) implements Event {
+            boolean clientRetry, String method, String target) implements Event {
+        public Arrival(String request, String requestClass, long deadline, String tenant, double cost,
+                boolean clientRetry) {
+            this(request, requestClass, deadline, tenant, cost, clientRetry, null, null);
+        }
     }
 
     /** The answer of a streamed request has started. */
@@ -176,8 +187,11 @@
     public record Refuse(String request, long retryAfter) implements Action {
     }
 
-    /** Final answer: failed, with no word on its effect. */
-    public record Fail(String request) implements Action {
+    /** Final answer: failed, with no word on its effect; {@code late}: by a deadline that a route has shortened. */
+    public record Fail(String request, boolean late) implements Action {
+        public Fail(String request) {
+            this(request, false);
+        }
     }
 
     /** Ask for a {@link Timer} after this span. */
--- a/decision/src/main/java/weldhitch/decision/RatioBalancer.java
+++ b/decision/src/main/java/weldhitch/decision/RatioBalancer.java
@@ -54,6 +54,9 @@
     private final PriorityQueue<Due> due = new PriorityQueue<>();
     private final PriorityQueue<Request> waiting = new PriorityQueue<>();
     private final Map<String, Quota> quotas = new HashMap<>();
+    /** What an operator's routes allow; null where there are none. */
+    private Routes routes;
+    private Map<String, RouteUse> routeUses = Map.of();
     private double usualRank;
     private double usualWorth;
     private final AdmissionLimit limit = new AdmissionLimit();
@@ -101,6 +104,8 @@
             onTimer();
         } else if (event instanceof FirstByte first) {
             onFirstByte(first);
+        } else if (event instanceof NewRoutes news) {
+            onNewRoutes(news.routes());
         } else if (event instanceof ClientGone gone) {
             Request r = requests.get(gone.request());
             if (r != null) {
@@ -339,8 +344,13 @@
             return;
         }
         ClassUse use = classes.getOrDefault(arrival.requestClass(), unknownClass);
-        Request r = new Request(arrival, use, worth(arrival, use), dueCount++, now);
+        Request r = new Request(arrival, use, routeOf(arrival), worth(arrival, use), dueCount++, now);
         requests.put(r.id, r);
+        Quota spent = r.route == null ? null : r.route.exceeded(arrival.tenant(), now);
+        if (spent != null) {
+            refuse(r, spent.untilNext());
+            return;
+        }
         usualRank = usualRank == 0 ? r.rank : usualRank + USUAL_STEP * (r.rank - usualRank);
         retriesSaved = Math.min(MOST_RETRIES_SAVED, retriesSaved + RETRY_SHARE);
         if (cold.size() == ready.size()) {
@@ -349,6 +359,32 @@
         admit(r);
     }
 
+    private void onNewRoutes(Routes next) {
+        Map<String, RouteUse> before = routeUses;
+        routes = next;
+        routeUses = new HashMap<>();
+        Map<String, RouteUse> groups = new HashMap<>();
+        for (Routes.Route route : next == null ? List.<Routes.Route>of() : next.all()) {
+            RouteUse shared = groups.get(route.group());
+            RouteUse use = new RouteUse(route.rules(), settings.siblings(),
+                shared == null ? before.get(route.name()) : shared);
+            groups.putIfAbsent(route.group(), use);
+            routeUses.put(route.name(), use);
+        }
+    }
+
+    private RouteUse routeOf(Arrival arrival) {
+        if (routes == null || arrival.target() == null) {
+            return null;
+        }
+        Routes.Route route = routes.match(arrival.requestClass(), arrival.method(), arrival.target());
+        RouteUse use = route == null ? null : routeUses.get(route.name());
+        if (use != null) {
+            use.arrived(now);
+        }
+        return use;
+    }
+
     /** Sends the request somewhere, or holds it while waiting may help, or ends it. */
     private void dispatch(Request r) {
         if (now >= lastMoment(r)) {
@@ -373,15 +409,23 @@
         }
         long patience = r.use.patience(r.cost);
         boolean copies = settings.limits().secondCopies();
-        boolean repeatable = r.use.about.effect() != Effect.UNSAFE
-            && r.attempts.size() < settings.limits().maxAttempts() && now + patience < r.deadline;
-        actions.add(new Send(r.id, server.id, repeatable && !copies ? patience : 0));
+        long hedge = copies && r.route != null && r.use.about.effect() == Effect.SAFE
+            ? r.route.hedgeAfter(patience) : patience;
+        boolean repeatable = r.use.about.effect() != Effect.UNSAFE && r.attempts.size() < maxAttempts(r)
+            && hedge > 0 && now + hedge < r.deadline;
+        long timeout = repeatable && !copies ? patience : 0;
+        actions.add(new Send(r.id, server.id, r.route == null ? timeout : r.route.timeout(timeout, r.deadline - now)));
         if (repeatable && copies) {
-            r.wakeAt = now + patience;
+            r.wakeAt = now + hedge;
             plan(r.wakeAt, r);
         }
     }
 
+    private int maxAttempts(Request r) {
+        int allowed = settings.limits().maxAttempts();
+        return r.route == null ? allowed : r.route.attempts(allowed);
+    }
+
     private void onEnded(AttemptEnded ended) {
         Request r = requests.get(ended.request());
         if (r == null || ended.attempt() < 0 || ended.attempt() >= r.attempts.size()) {
@@ -415,6 +459,9 @@
                     learnLimit(r);
                     served(r, attempt, ended.latency());
                 }
+                if (r.route != null) {
+                    r.route.answered(ended.latency());
+                }
             }
             case ERROR, FULL -> {
                 attempt.server.heardAt = now;
@@ -445,8 +492,15 @@
     }
 
     private void again(Request r, Outcome outcome) {
-        if (r.out == 0 && mayAttempt(r) && (outcome.neverRan || spendRetry())) {
-            if (r.attempts.size() < 2) {
+        boolean allowed = r.route == null || r.route.retries(outcome);
+        if (r.out == 0 && allowed && mayAttempt(r) && spendRetry(r, outcome.neverRan)) {
+            long own = r.route == null ? -1 : r.route.wait(r.attempts.size(), random);
+            if (own >= 0 && now + own >= lastMoment(r)) {
+                finish(r);
+            } else if (own > 0) {
+                r.wakeAt = now + own;
+                plan(r.wakeAt, r);
+            } else if (own == 0 || r.attempts.size() < 2) {
                 dispatch(r);
             } else {
                 double wait = r.use.usual(r.cost) / 4 * (1 << Math.min(r.attempts.size() - 2, 4));
@@ -459,7 +513,7 @@
     }
 
     private boolean mayAttempt(Request r) {
-        if (r.done || r.attempts.size() >= settings.limits().maxAttempts() || now >= lastMoment(r)
+        if (r.done || r.attempts.size() >= maxAttempts(r) || now >= lastMoment(r)
                 || r.out > 0 && !settings.limits().secondCopies()) {
             return false;
         }
@@ -477,7 +531,14 @@
             || about.effect() == Effect.KEYED && about.group() == KeyGroup.ALL;
     }
 
-    private boolean spendRetry() {
+    /** Pays for a further attempt: by the route's own budget for any, else only where the last one may have run. */
+    private boolean spendRetry(Request r, boolean neverRan) {
+        if (r.route != null && r.route.hasBudget()) {
+            return r.route.spend(now);
+        }
+        if (neverRan) {
+            return true;
+        }
         if (retriesSaved < 1) {
             return false;
         }
@@ -564,14 +625,22 @@
     /** The one final answer that the node itself gives. */
     private void finish(Request r) {
         if (!r.done) {
-            Limits limits = settings.limits();
-            long away = r.waits && limits.retryAfter()
-                ? Math.min(limits.maxRetryAfter(), (long) r.use.usual(r.cost) / 2) : 0;
-            actions.add(mayRefuse(r) ? new Refuse(r.id, away) : new Fail(r.id));
-            close(r);
+            if (mayRefuse(r)) {
+                refuse(r, r.waits ? (long) r.use.usual(r.cost) / 2 : 0);
+            } else {
+                actions.add(new Fail(r.id, r.shortened && now >= lastMoment(r)));
+                close(r);
+            }
         }
     }
 
+    private void refuse(Request r, long away) {
+        Limits limits = settings.limits();
+        long advice = r.route == null ? away : r.route.retryAfter(away);
+        actions.add(new Refuse(r.id, limits.retryAfter() ? Math.min(limits.maxRetryAfter(), advice) : 0));
+        close(r);
+    }
+
     /** Nothing more goes out for the request; attempts still out are only waited for. */
     private void close(Request r) {
         if (!r.done) {
@@ -615,8 +684,10 @@
             // While it waited, the servers' memory of its key may have run out.
             finish(r);
         } else {
-            r.attempts.get(r.attempts.size() - 1).overstayed = true;
-            if (mayAttempt(r) && spendRetry()) {
+            Attempt last = r.attempts.get(r.attempts.size() - 1);
+            // A route may want its copy long before its server has overstayed.
+            last.overstayed = r.route == null || now - last.sentAt >= r.use.patience(r.cost);
+            if (mayAttempt(r) && spendRetry(r, false)) {
                 dispatch(r);
             }
         }
@@ -742,6 +813,9 @@
         final double rank;
         final long number;
         final ClassUse use;
+        final RouteUse route;
+        /** Whether its route has shortened its deadline. */
+        final boolean shortened;
         final long arrivedAt;
         final long deadline;
         final double cost;
@@ -754,14 +828,16 @@
         boolean admitted;
         long wakeAt;
 
-        Request(Arrival arrival, ClassUse use, double worth, long number, long arrivedAt) {
+        Request(Arrival arrival, ClassUse use, RouteUse route, double worth, long number, long arrivedAt) {
             this.arrivedAt = arrivedAt;
             this.worth = worth;
             this.rank = worth / use.usual(arrival.cost());
             this.number = number;
             this.id = arrival.request();
             this.use = use;
-            this.deadline = arrival.deadline();
+            this.route = route;
+            this.deadline = route == null ? arrival.deadline() : route.deadline(arrivedAt, arrival.deadline());
+            this.shortened = deadline < arrival.deadline();
             this.cost = arrival.cost();
         }
 
@@ -790,27 +866,6 @@
         }
     }
 
-    private static final class Quota {
-        final double perSecond;
-        double left;
-        long at;
-
-        Quota(double perSecond) {
-            this.perSecond = perSecond;
-            this.left = perSecond;
-        }
-
-        boolean take(long now) {
-            left = Math.min(Math.max(1, perSecond), left + perSecond * (at == 0 ? 0 : now - at) / 1e9);
-            at = now;
-            if (left < 1) {
-                return false;
-            }
-            left--;
-            return true;
-        }
-    }
-
     /**
      * A class's usual round trip, by the cost hint where there is one. Round trips are divided by it, so that
      * a server is not judged by what it happened to get (the paper's remedy for mixed requests, section 6).
--- /dev/null
+++ b/decision/src/main/java/weldhitch/decision/Routes.java
@@ -0,0 +1,165 @@
+package weldhitch.decision;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Finds the route of a request. Paths are compared part by part from the left: a part spelled out goes before an open
+ * one, and that before the end of a prefix; among routes of one path the higher rank goes first, then the one that
+ * asks for method and class, then for method, then for class. The path is taken as it stands in the request line up
+ * to its query, without decoding.
+ *
+ * <p>Immutable. A look-up walks a tree of parts, each node at most once, and makes nothing.
+ */
+public final class Routes {
+    /**
+     * One route. Names are unique; of a name, what stands before {@code @} is the group, whose members share budgets,
+     * quotas and latencies where their rules are the same. The higher {@code rank} goes first where paths are alike.
+     */
+    public record Route(String name, int rank, RoutePattern pattern, RouteRules rules) {
+        public String group() {
+            int end = name.indexOf('@');
+            return end < 0 ? name : name.substring(0, end);
+        }
+    }
+
+    private final Part root = new Part("");
+    private final List<Route> all;
+
+    /** @throws IllegalArgumentException where two routes match the same requests equally */
+    public Routes(List<Route> routes) {
+        all = List.copyOf(routes);
+        for (Route route : all) {
+            Part at = root;
+            for (String part : route.pattern().parts()) {
+                at = at.child(part);
+            }
+            (route.pattern().prefix() ? at.prefixes : at.ends).add(route);
+        }
+        root.sort();
+    }
+
+    public List<Route> all() {
+        return all;
+    }
+
+    /** The most specific route that matches, or null. {@code uri} is the request's target, its query ignored. */
+    public Route match(String requestClass, String method, String uri) {
+        int end = uri.indexOf('?');
+        return root.match(requestClass, method, uri, uri.startsWith("/") ? 1 : 0, end < 0 ? uri.length() : end);
+    }
+
+    private static final class Part {
+        private static final Comparator<Route> ORDER = Comparator.<Route>comparingInt(Route::rank)
+            .thenComparing(r -> (r.pattern().method() != null ? 2 : 0) + (r.pattern().requestClass() != null ? 1 : 0))
+            .reversed();
+
+        final String text;
+        final List<Part> named = new ArrayList<>();
+        Part open;
+        final List<Route> ends = new ArrayList<>();
+        final List<Route> prefixes = new ArrayList<>();
+
+        Part(String text) {
+            this.text = text;
+        }
+
+        Part child(String part) {
+            if (part == null) {
+                open = open == null ? new Part("") : open;
+                return open;
+            }
+            for (Part child : named) {
+                if (child.text.equals(part)) {
+                    return child;
+                }
+            }
+            Part child = new Part(part);
+            named.add(child);
+            return child;
+        }
+
+        void sort() {
+            named.sort(Comparator.comparing(p -> p.text));
+            sort(ends);
+            sort(prefixes);
+            named.forEach(Part::sort);
+            if (open != null) {
+                open.sort();
+            }
+        }
+
+        private static void sort(List<Route> routes) {
+            routes.sort(ORDER);
+            Set<String> seen = new HashSet<>();
+            for (Route route : routes) {
+                RoutePattern asked = route.pattern();
+                if (!seen.add(route.rank() + " " + asked.method() + " " + asked.requestClass())) {
+                    throw new IllegalArgumentException("two routes match alike: " + route.name());
+                }
+            }
+        }
+
+        /** The best route below here for the path from {@code from} on, which lies behind a slash. */
+        Route match(String requestClass, String method, String uri, int from, int end) {
+            Route found = null;
+            if (from < end) {
+                int stop = uri.indexOf('/', from);
+                stop = stop < 0 || stop > end ? end : stop;
+                int next = stop < end ? stop + 1 : end;
+                Part exact = named(uri, from, stop);
+                found = exact == null ? null : exact.match(requestClass, method, uri, next, end);
+                if (found == null && open != null && stop > from) {
+                    found = open.match(requestClass, method, uri, next, end);
+                }
+            } else {
+                found = first(ends, requestClass, method);
+            }
+            return found != null ? found : first(prefixes, requestClass, method);
+        }
+
+        private Part named(String uri, int from, int stop) {
+            int low = 0;
+            int high = named.size() - 1;
+            while (low <= high) {
+                int middle = (low + high) >>> 1;
+                Part part = named.get(middle);
+                int order = compare(part.text, uri, from, stop);
+                if (order == 0) {
+                    return part;
+                }
+                if (order < 0) {
+                    low = middle + 1;
+                } else {
+                    high = middle - 1;
+                }
+            }
+            return null;
+        }
+
+        private static int compare(String text, String uri, int from, int stop) {
+            int common = Math.min(text.length(), stop - from);
+            for (int i = 0; i < common; i++) {
+                int order = text.charAt(i) - uri.charAt(from + i);
+                if (order != 0) {
+                    return order;
+                }
+            }
+            return text.length() - (stop - from);
+        }
+
+        private static Route first(List<Route> routes, String requestClass, String method) {
+            for (int i = 0; i < routes.size(); i++) {
+                RoutePattern asked = routes.get(i).pattern();
+                if ((asked.method() == null || asked.method().equals(method))
+                        && (asked.requestClass() == null || asked.requestClass().equals(requestClass))) {
+                    return routes.get(i);
+                }
+            }
+            return null;
+        }
+    }
+}
