--- /dev/null
+++ b/operator/src/main/java/weldhitch/operator/Key.java
@@ -0,0 +1,23 @@
+package weldhitch.operator;
+
+/** The rules that a route, a class or the defaults may set. */
+enum Key {
+    DEADLINE("deadline"), ATTEMPT_TIMEOUT("attempt-timeout"), ATTEMPTS("attempts"), BACKOFF("backoff"),
+    RETRY_ON("retry-on"), BUDGET("budget"), HEDGE("hedge"), RETRY_AFTER("retry-after"), TENANTS("tenants"),
+    EXPECTED("expected-per-second");
+
+    final String text;
+
+    Key(String text) {
+        this.text = text;
+    }
+
+    static Key of(String text) {
+        for (Key key : values()) {
+            if (key.text.equals(text)) {
+                return key;
+            }
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/operator/src/main/java/weldhitch/operator/OperatorFile.java
@@ -0,0 +1,247 @@
+package weldhitch.operator;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.BasicFileAttributes;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+import weldhitch.decision.Balancing.Outcome;
+import weldhitch.decision.Balancing.Settings;
+import weldhitch.decision.RoutePattern;
+import weldhitch.decision.RouteRules;
+import weldhitch.decision.RouteRules.*;
+import weldhitch.decision.Routes;
+import weldhitch.decision.Routes.Route;
+import weldhitch.operator.Section.Kind;
+import weldhitch.operator.Section.Setting;
+
+/**
+ * An operator file as read: what is wrong with it, and, where nothing is, the routes it makes. The schema is
+ * docs/operator-file.md.
+ */
+public final class OperatorFile {
+    /** The last line of every file: one cut short does not have it. */
+    public static final String END = "# end";
+    private static final int MOST_BYTES = 1 << 20;
+
+    private final List<Problem> problems;
+    private final Routes routes;
+    private final Map<String, Map<Key, Setting>> sources;
+
+    private OperatorFile(List<Problem> problems, Routes routes, Map<String, Map<Key, Setting>> sources) {
+        this.problems = problems.stream().sorted(Comparator.comparingInt(Problem::line)).toList();
+        this.routes = routes;
+        this.sources = sources;
+    }
+
+    /** One rule as it holds for a request. {@code source} says who set it. */
+    public record Rule(String key, String value, String source) {
+    }
+
+    /** What holds for a request: the route that matches, null where none does, and each rule. */
+    public record Explanation(String route, List<Rule> rules) {
+    }
+
+    /**
+     * Reads and checks a file; blocks on it.
+     *
+     * @param platform what the platform says; null checks only what needs no word of it
+     */
+    public static OperatorFile read(Path file, Settings platform) {
+        try {
+            BasicFileAttributes before = Files.readAttributes(file, BasicFileAttributes.class);
+            if (before.size() > MOST_BYTES) {
+                return unusable(file, 0, "holds " + before.size() + " bytes", "keep to " + MOST_BYTES);
+            }
+            byte[] bytes = Files.readAllBytes(file);
+            BasicFileAttributes after = Files.readAttributes(file, BasicFileAttributes.class);
+            if (bytes.length != after.size() || !before.lastModifiedTime().equals(after.lastModifiedTime())) {
+                return unusable(file, 0, "was written to while it was read", "write a file beside it and rename that");
+            }
+            return parse(file.toString(), bytes, platform);
+        } catch (IOException e) {
+            return unusable(file, 0, "cannot be read: " + e, "name a file that this user may read");
+        }
+    }
+
+    private static OperatorFile unusable(Path file, int line, String what, String instead) {
+        return new OperatorFile(List.of(new Problem(file.toString(), line, "", what, instead, false)), null, Map.of());
+    }
+
+    /** Checks a file's text; {@code file} is what problems call it. */
+    public static OperatorFile parse(String file, byte[] bytes, Settings platform) {
+        List<Problem> problems = new ArrayList<>();
+        String text;
+        try {
+            text = StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(bytes)).toString();
+        } catch (CharacterCodingException e) {
+            return unusable(Path.of(file), 0, "is not UTF-8", "save it as UTF-8");
+        }
+        int lineCount = (int) text.chars().filter(c -> c == '\n').count() + (text.endsWith("\n") ? 0 : 1);
+        if (!text.stripTrailing().endsWith("\n" + END)) {
+            problems.add(new Problem(file, lineCount, "", "does not end with the line \"" + END + "\"",
+                "a file cut short is not taken: write the whole of it, with this line last", false));
+        }
+        JsonNode root;
+        try {
+            root = new TomlMapper().readTree(text);
+        } catch (JsonProcessingException e) {
+            // A key set twice is noticed only where the next one begins.
+            int twice = e.getOriginalMessage().contains("Duplicate key") ? new Lines(text).twice() : 0;
+            int line = twice > 0 ? twice : e.getLocation() == null ? 0 : e.getLocation().getLineNr();
+            problems.add(new Problem(file, line, "", "is no TOML: " + e.getOriginalMessage().lines().findFirst().orElse(""),
+                "mend this line; what comes after it was not looked at", false));
+            return new OperatorFile(problems, null, Map.of());
+        }
+        Lines lines = new Lines(text);
+        List<Section> sections = new Reader(file, lines, problems).read(root);
+        Checker checker = new Checker(file, lines, platform, problems);
+        checker.sections(sections);
+        Map<String, Map<Key, Setting>> sources = new LinkedHashMap<>();
+        List<Route> routes = new ArrayList<>();
+        compile(sections, platform, checker, routes, sources);
+        boolean usable = problems.stream().allMatch(Problem::warning);
+        return new OperatorFile(problems, usable ? new Routes(routes) : null, sources);
+    }
+
+    /** A route of any class becomes one for each class, as each has defaults of its own. */
+    private static void compile(List<Section> sections, Settings platform, Checker checker, List<Route> routes,
+            Map<String, Map<Key, Setting>> sources) {
+        Map<Key, Setting> defaults = new EnumMap<>(Key.class);
+        Map<String, Section> classes = new LinkedHashMap<>();
+        Set<RoutePattern> taken = sections.stream().map(Section::pattern).collect(Collectors.toSet());
+        for (Section section : sections) {
+            if (section.kind() == Kind.DEFAULTS) {
+                defaults.putAll(section.rules());
+            } else if (section.kind() == Kind.CLASS) {
+                classes.put(section.name(), section);
+            }
+        }
+        Set<String> known = new TreeSet<>(classes.keySet());
+        if (platform != null) {
+            platform.classes().forEach(c -> known.add(c.name()));
+        }
+        for (Section section : sections) {
+            RoutePattern pattern = section.pattern();
+            String requestClass = pattern.requestClass();
+            Section wider = section.kind() == Kind.ROUTE ? classes.get(requestClass) : null;
+            add(section, section.name(), pattern, wider, defaults, checker, routes, sources);
+            for (String each : requestClass == null ? known : Set.<String>of()) {
+                RoutePattern narrowed = new RoutePattern(each, pattern.method(), pattern.parts(), pattern.prefix());
+                if (section.kind() == Kind.ROUTE ? !taken.contains(narrowed) : !classes.containsKey(each)) {
+                    add(section, section.name() + "@" + each, narrowed, section.kind() == Kind.ROUTE
+                        ? classes.get(each) : null, defaults, checker, routes, sources);
+                }
+            }
+        }
+    }
+
+    private static void add(Section section, String name, RoutePattern pattern, Section wider,
+            Map<Key, Setting> defaults, Checker checker, List<Route> routes, Map<String, Map<Key, Setting>> sources) {
+        Map<Key, Setting> merged = section.over(wider == null ? defaults : wider.over(defaults));
+        Map<Key, Setting> rules = checker.effective(merged, section, pattern.requestClass());
+        String full = section.kind() == Kind.CLASS ? "class " + name : name;
+        routes.add(new Route(full, section.kind().ordinal(), pattern, rules(rules)));
+        sources.put(full, rules);
+    }
+
+    private static RouteRules rules(Map<Key, Setting> rules) {
+        Long deadline = value(rules, Key.DEADLINE, Long.class);
+        Long timeout = value(rules, Key.ATTEMPT_TIMEOUT, Long.class);
+        Integer attempts = value(rules, Key.ATTEMPTS, Integer.class);
+        Set<?> retryOn = value(rules, Key.RETRY_ON, Set.class);
+        Map<?, ?> tenants = value(rules, Key.TENANTS, Map.class);
+        Map<String, Double> limits = new LinkedHashMap<>();
+        if (tenants != null) {
+            tenants.forEach((tenant, perSecond) -> limits.put((String) tenant, (Double) perSecond));
+        }
+        return new RouteRules(deadline == null ? 0 : deadline, timeout == null ? 0 : timeout,
+            attempts == null ? 0 : attempts, value(rules, Key.BACKOFF, Backoff.class),
+            retryOn == null ? RouteRules.RETRYABLE
+                : retryOn.stream().map(Outcome.class::cast).collect(Collectors.toSet()),
+            value(rules, Key.BUDGET, Budget.class), value(rules, Key.HEDGE, Hedge.class),
+            value(rules, Key.RETRY_AFTER, Bounds.class), limits);
+    }
+
+    private static <T> T value(Map<Key, Setting> rules, Key key, Class<T> type) {
+        Setting setting = rules.get(key);
+        return setting == null ? null : type.cast(setting.value());
+    }
+
+    /** Errors and warnings by line; empty where there are none. */
+    public List<Problem> problems() {
+        return problems;
+    }
+
+    public List<Problem> errors() {
+        return problems.stream().filter(p -> !p.warning()).toList();
+    }
+
+    /** Whether it can be put in force. */
+    public boolean usable() {
+        return routes != null;
+    }
+
+    /** @throws IllegalStateException where the file is not {@link #usable} */
+    public Routes routes() {
+        if (routes == null) {
+            throw new IllegalStateException("a file with errors makes no routes");
+        }
+        return routes;
+    }
+
+    /** Which route a request goes by, and what holds for it. The file must be {@link #usable}. */
+    public Explanation explain(String requestClass, String method, String target) {
+        Route route = routes().match(requestClass, method, target);
+        Map<Key, Setting> rules = route == null ? Map.of() : sources.get(route.name());
+        List<Rule> all = new ArrayList<>();
+        for (Key key : Key.values()) {
+            Setting setting = rules.get(key);
+            if (key != Key.EXPECTED) {
+                all.add(setting == null ? new Rule(key.text, "-", "platform")
+                    : new Rule(key.text, text(setting.value()), setting.source() + ", line " + setting.line()));
+            }
+        }
+        return new Explanation(route == null ? null : route.group(), all);
+    }
+
+    private static String text(Object value) {
+        if (value instanceof Long span) {
+            return Spans.text(span);
+        }
+        if (value instanceof Backoff b) {
+            return "base " + Spans.text(b.base()) + ", max " + Spans.text(b.max());
+        }
+        if (value instanceof Bounds b) {
+            return "min " + Spans.text(b.min()) + ", max " + Spans.text(b.max());
+        }
+        if (value instanceof Budget b) {
+            return "share " + Spans.plain(b.share()) + ", floor " + Spans.plain(b.floor()) + " a second";
+        }
+        if (value instanceof HedgeAfter h) {
+            return "after " + Spans.text(h.delay());
+        }
+        if (value instanceof HedgePercentile h) {
+            return "after percentile " + Spans.plain(h.percentile());
+        }
+        if (value instanceof Set<?> outcomes) {
+            return String.join(", ", Outcomes.names(outcomes.stream().map(Outcome.class::cast)
+                .collect(Collectors.toSet())));
+        }
+        return value instanceof HedgeOff ? "off" : String.valueOf(value);
+    }
+}
--- /dev/null
+++ b/operator/src/main/java/weldhitch/operator/Words.java
@@ -0,0 +1,43 @@
+package weldhitch.operator;
+
+import java.util.Collection;
+import java.util.List;
+
+/** Guesses which known word was meant. */
+final class Words {
+    private Words() {
+    }
+
+    /** What to write instead of a word that is not known. */
+    static String instead(String word, Collection<String> known) {
+        String nearest = null;
+        int least = Math.max(2, word.length() / 2) + 1;
+        List<String> sorted = known.stream().sorted().toList();
+        for (String each : sorted) {
+            int distance = distance(word, each);
+            if (distance < least) {
+                least = distance;
+                nearest = each;
+            }
+        }
+        return nearest != null ? "did you mean \"" + nearest + "\"?" : "known: " + String.join(", ", sorted);
+    }
+
+    /** Single letters put in, left out or changed (Levenshtein). */
+    private static int distance(String one, String other) {
+        int[] row = new int[other.length() + 1];
+        for (int j = 0; j < row.length; j++) {
+            row[j] = j;
+        }
+        for (int i = 1; i <= one.length(); i++) {
+            int diagonal = row[0];
+            row[0] = i;
+            for (int j = 1; j < row.length; j++) {
+                int changed = diagonal + (one.charAt(i - 1) == other.charAt(j - 1) ? 0 : 1);
+                diagonal = row[j];
+                row[j] = Math.min(changed, Math.min(row[j], row[j - 1]) + 1);
+            }
+        }
+        return row[other.length()];
+    }
+}
