--- a/node/src/main/java/weldhitch/node/Dispatcher.java
+++ b/node/src/main/java/weldhitch/node/Dispatcher.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import weldhitch.decision.Balancing.*;
 import weldhitch.decision.RatioBalancer;
+import weldhitch.decision.Routes;
 
 final class Dispatcher implements AttemptListener {
     private static final long GUARD = 8_000_000L;
@@ -56,7 +57,12 @@
         x.guard = loop.schedule(() -> overdue(x), x.patience + GUARD, TimeUnit.NANOSECONDS);
         CallerRequest r = x.request;
         tell(new Arrival(r.id(), r.requestClass().name(), x.deadline, r.headers().get("X-Customer"), hintedCost(r),
-            "1".equals(r.headers().get("X-Second-Try"))));
+            "1".equals(r.headers().get("X-Second-Try")), r.method().name(), r.uri()));
+    }
+
+    /** Requests that arrive from here on go by these routes; by none where null. */
+    void routes(Routes routes) {
+        tell(new NewRoutes(routes));
     }
 
     /** The caller's guess at the work, given in microseconds, as seconds; 0 where it gives none that makes sense. */
@@ -176,7 +182,7 @@
         } else if (action instanceof Fail fail) {
             Exchange x = exchanges.get(fail.request());
             if (x != null && finish(x)) {
-                x.caller.failed(clock.now() >= x.deadline);
+                x.caller.failed(fail.late() || clock.now() >= x.deadline);
                 forget(x);
             }
         } else if (action instanceof Subscribe) {
--- a/node/src/main/java/weldhitch/node/Node.java
+++ b/node/src/main/java/weldhitch/node/Node.java
@@ -5,12 +5,15 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import weldhitch.decision.Balancing.ListKind;
+import weldhitch.decision.Balancing.Settings;
 import weldhitch.decision.RatioBalancer;
+import weldhitch.decision.Routes;
 
 /** The real node: one event loop that reads and writes all sockets and runs the module. */
 public final class Node {
@@ -23,6 +26,8 @@
     private final Clock clock = new Clock();
     private final long startedAt = clock.now();
     private final CountDownLatch drained = new CountDownLatch(1);
+    /** What reads the operator file; null where none is named. */
+    private final OperatorRules operator;
     private Dispatcher dispatcher;
     private ServerConnections servers;
     private Discovery discovery;
@@ -30,13 +35,18 @@
     private boolean anyServer;
     private InetSocketAddress bound;
 
-    private Node() {
+    private Node(OperatorRules operator) {
+        this.operator = operator;
     }
 
-    /** Runs a node as the environment says, until it is told to stop. */
-    public static void main() {
+    /**
+     * Runs a node as the environment says, until it is told to stop.
+     *
+     * @param operator the operator file, or null for none
+     */
+    public static void main(Path operator) {
         try {
-            Node node = start(NodeConfig.load(System.getenv()));
+            Node node = start(NodeConfig.load(System.getenv()), operator);
             // Without a handler of its own the runtime ends the process on this signal.
             sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> node.reload(System.getenv()));
             Runtime.getRuntime().addShutdownHook(new Thread(node::drain, "drain"));
@@ -49,10 +59,31 @@
         }
     }
 
+    /**
+     * What a configuration file says of the platform, for checks away from any node.
+     *
+     * @throws IllegalArgumentException with one line that names the setting that makes no sense
+     */
+    public static Settings platform(Path config) {
+        try {
+            return NodeConfig.load(Map.of("GW_CONFIG", config.toString())).settings();
+        } catch (NodeConfig.InvalidConfigException e) {
+            throw new IllegalArgumentException(e.getMessage(), e);
+        }
+    }
+
     static Node start(NodeConfig config) throws Exception {
-        Node node = new Node();
+        return start(config, null);
+    }
+
+    static Node start(NodeConfig config, Path operator) throws Exception {
+        Node node = new Node(operator == null ? null : new OperatorRules(operator, config.settings()));
+        Routes routes = node.operator == null ? null : node.operator.first();
         try {
             node.group.next().submit(() -> node.build(config)).sync();
+            if (routes != null) {
+                node.group.next().submit(() -> node.dispatcher.routes(routes)).sync();
+            }
             node.bound = (InetSocketAddress) node.clients.listen(config.listen()).sync().channel().localAddress();
         } catch (Exception e) {
             node.group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
@@ -94,10 +125,15 @@
     }
 
     /**
-     * Takes up from a new configuration what may change while the node runs: the address of discovery. One that
-     * makes no sense changes nothing. Reads the file, so not to be called on the loop.
+     * Takes up from a new configuration what may change while the node runs: the address of discovery, and the routes
+     * of the operator file. Either file changes nothing where it makes no sense. Reads them, so not to be called on
+     * the loop.
      */
     void reload(Map<String, String> environment) {
+        Routes routes = operator == null ? null : operator.again();
+        if (routes != null) {
+            group.next().execute(() -> dispatcher.routes(routes));
+        }
         try {
             NodeConfig config = NodeConfig.reload(environment);
             group.next().execute(() -> discovery.moveTo(config.discovery()));
@@ -106,6 +142,11 @@
         }
     }
 
+    /** Returns when the loop has done what it was told before. */
+    void settle() throws InterruptedException {
+        group.next().submit(() -> { }).sync();
+    }
+
     /** Ends as planned: returns when all that was taken is answered. */
     void drain() {
         Log.line("draining");
--- /dev/null
+++ b/node/src/main/java/weldhitch/node/OperatorRules.java
@@ -0,0 +1,45 @@
+package weldhitch.node;
+
+import java.nio.file.Path;
+import weldhitch.decision.Balancing.Settings;
+import weldhitch.decision.Routes;
+import weldhitch.operator.OperatorFile;
+import weldhitch.operator.Problem;
+
+/** Reads the operator file at the start and again when told; a file with errors is never put in force. */
+final class OperatorRules {
+    private final Path file;
+    private final Settings platform;
+
+    OperatorRules(Path file, Settings platform) {
+        this.file = file;
+        this.platform = platform;
+    }
+
+    /** @throws NodeConfig.InvalidConfigException where it has errors; all of them are in the log */
+    Routes first() throws NodeConfig.InvalidConfigException {
+        OperatorFile read = OperatorFile.read(file, platform);
+        read.problems().forEach(p -> Log.line(p.toString()));
+        if (!read.usable()) {
+            throw new NodeConfig.InvalidConfigException(summary(read));
+        }
+        return read.routes();
+    }
+
+    /** The routes of the file as it is now; null where it has errors, and what was in force stays so. */
+    Routes again() {
+        OperatorFile read = OperatorFile.read(file, platform);
+        if (!read.usable()) {
+            Log.line("the operator file is not taken up, the last good one stays in force: " + summary(read));
+            return null;
+        }
+        read.problems().forEach(p -> Log.line(p.toString()));
+        Log.line("operator file " + file + " is in force: " + read.routes().all().size() + " routes");
+        return read.routes();
+    }
+
+    private static String summary(OperatorFile read) {
+        Problem first = read.errors().get(0);
+        return first + (read.errors().size() > 1 ? " (and " + (read.errors().size() - 1) + " more)" : "");
+    }
+}
--- a/node/src/test/java/weldhitch/HouseTest.java
+++ b/node/src/test/java/weldhitch/HouseTest.java
@@ -36,6 +36,12 @@
     @ArchTest
     static final ArchRule noCirclesBetweenPackages = slices().matching("weldhitch.(*)..").should().beFreeOfCycles();
 
+    /** The heavy part of Jackson is loaded only where an operator file is named. */
+    @ArchTest
+    static final ArchRule onlyTheOperatorFileIsReadAsATree = noClasses()
+        .that().resideOutsideOfPackage("weldhitch.operator..")
+        .should().dependOnClassesThat().resideInAPackage("com.fasterxml.jackson.databind..");
+
     @ArchTest
     static final ArchRule theTestkitIsForTests = noClasses()
         .that().resideOutsideOfPackage("weldhitch.testkit..")
--- a/node/src/test/java/weldhitch/node/Harness.java
+++ b/node/src/test/java/weldhitch/node/Harness.java
@@ -86,6 +86,10 @@
         return new Harness(Node.start(NodeConfig.parse(config, Map.of())));
     }
 
+    static Harness start(byte[] config, java.nio.file.Path operator) throws Exception {
+        return new Harness(Node.start(NodeConfig.parse(config, Map.of()), operator));
+    }
+
     Wire client() throws IOException {
         Wire wire = new Wire(new Socket(LOOPBACK, node.address().getPort()));
         open.add(wire);
--- a/node/src/test/java/weldhitch/node/PackagedNodeIT.java
+++ b/node/src/test/java/weldhitch/node/PackagedNodeIT.java
@@ -107,6 +107,6 @@
         Process process = new ProcessBuilder("java", "-jar", "node/target/weldhitch-node.jar", "dance").start();
         String said = new String(process.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
         assertEquals(64, process.waitFor());
-        assertEquals("usage: weldhitch serve | adapter\n", said);
+        assertEquals("usage: weldhitch serve [--operator FILE] | adapter\n", said);
     }
 }
