--- /dev/null
+++ b/bench/src/main/java/weldhitch/bench/RequestPath.java
@@ -0,0 +1,76 @@
+package weldhitch.bench;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+import weldhitch.decision.Balancing.*;
+import weldhitch.decision.FlatSettings;
+import weldhitch.decision.RatioBalancer;
+import weldhitch.operator.OperatorFile;
+
+/** The decisions of one served request, from arrival to answer, with no operator file, a small one and a large one. */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+@Warmup(iterations = 3, time = 1)
+@Measurement(iterations = 5, time = 1)
+@Fork(2)
+public class RequestPath {
+    private static final long STEP = 1_000_000L;
+
+    @Param({"none", "1", "1000"})
+    private String routes;
+    private RatioBalancer module;
+    private long now = 1_000_000_000_000L;
+    private long number;
+
+    @Setup
+    public void module() {
+        Settings settings = new FlatSettings(Map.of("classes.count", "1", "classes.0.name", "read",
+            "classes.0.effect", "read_like", "classes.0.aimS", "1", "classes.0.deadlineS", "3",
+            "limits.maxAttempts", "3", "limits.retryAfter", "true", "limits.maxRetryAfterS", "1")).settings();
+        module = new RatioBalancer(settings, 1);
+        List<ServerEntry> servers = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            servers.add(new ServerEntry("s" + i, "", 0, ServerState.READY, 1, 0));
+        }
+        module.handle(now, new Membership(ListKind.ALL, servers));
+        if (!routes.equals("none")) {
+            StringBuilder file = new StringBuilder("version = 1\n");
+            for (int i = 0; i < Integer.parseInt(routes); i++) {
+                file.append("[[route]]\nname = \"r").append(i).append("\"\npath = \"/read/clinic").append(i)
+                    .append("/{id}\"\ndeadline = \"2s\"\nattempts = 2\nbudget = { share = 0.1 }\n");
+            }
+            OperatorFile read = OperatorFile.parse("bench.toml",
+                file.append("# end\n").toString().getBytes(StandardCharsets.UTF_8), settings);
+            module.handle(now, new NewRoutes(read.routes()));
+        }
+    }
+
+    @Benchmark
+    public Object request() {
+        now += STEP;
+        String id = Long.toString(number++);
+        List<Action> sent = module.handle(now, new Arrival(id, "read", now + 3_000 * STEP, null, 0, false, "GET",
+            "/read/clinic0/4711?x=1"));
+        String server = null;
+        for (Action action : sent) {
+            server = action instanceof Send send ? send.server() : server;
+        }
+        now += STEP;
+        return module.handle(now, new AttemptEnded(id, 0, server, Outcome.OK, STEP, true, null));
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/weldhitch/bench/RouteMatch.java
@@ -0,0 +1,58 @@
+package weldhitch.bench;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+import weldhitch.decision.RoutePattern;
+import weldhitch.decision.RouteRules;
+import weldhitch.decision.Routes;
+import weldhitch.decision.Routes.Route;
+
+/** What it costs to find a request's route among many, half of them templates. */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+@Warmup(iterations = 3, time = 1)
+@Measurement(iterations = 5, time = 1)
+@Fork(2)
+public class RouteMatch {
+    @Param({"10", "100", "1000"})
+    private int count;
+    private Routes routes;
+    private String[] targets;
+    private int next;
+
+    @Setup
+    public void routes() {
+        List<Route> all = new ArrayList<>();
+        targets = new String[64];
+        for (int i = 0; i < count; i++) {
+            List<String> parts = new ArrayList<>(List.of("book-visit", "clinic" + i));
+            if (i % 2 == 0) {
+                parts.add(null);
+                parts.add("cancel");
+            }
+            all.add(new Route("r" + i, 2, new RoutePattern("book-visit", null, parts, i % 2 == 1), RouteRules.NONE));
+        }
+        for (int i = 0; i < targets.length; i++) {
+            targets[i] = "/book-visit/clinic" + (i * 37 % count) + "/visit-4711/cancel?why=weather";
+        }
+        routes = new Routes(all);
+    }
+
+    @Benchmark
+    public Route match() {
+        return routes.match("book-visit", "POST", targets[next++ & 63]);
+    }
+}
