--- a/testkit/src/main/java/weldhitch/testkit/Tests.java
+++ b/testkit/src/main/java/weldhitch/testkit/Tests.java
@@ -25,4 +25,15 @@
         thread.start();
         return thread;
     }
+
+    /** Waits until it holds; fails where it does not within {@link #WAIT_S} seconds. */
+    public static void await(java.util.function.BooleanSupplier condition) {
+        long end = System.nanoTime() + WAIT_S * 1_000_000_000L;
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > end) {
+                throw new AssertionError("it never came about");
+            }
+            Thread.onSpinWait();
+        }
+    }
 }
