--- a/node/src/test/java/weldhitch/node/NodeProcess.java
+++ b/node/src/test/java/weldhitch/node/NodeProcess.java
@@ -54,6 +54,17 @@
         return line.contains("broken") ? "HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n" : Harness.ok("hello");
     }
 
+    /** The next line of its log. */
+    String logLine() throws IOException {
+        return log.readLine();
+    }
+
+    void hangUp() throws Exception {
+        if (new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor() != 0) {
+            throw new IOException("no such process");
+        }
+    }
+
     /** What a node meets in its first second, and its planned end; returns when the process has ended. */
     void exercise() throws Exception {
         ask("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
@@ -69,18 +80,16 @@
         try (Wire gone = new Wire(new Socket(InetAddress.getLoopbackAddress(), port))) {
             gone.write(Harness.post("gone", "body"));
         }
-        if (new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor() != 0) {
-            throw new IOException("no such process");
-        }
+        hangUp();
         ask(Harness.get("last"));
         process.destroy();
         process.waitFor();
     }
 
-    private void ask(String request) throws IOException {
+    Message ask(String request) throws IOException {
         try (Wire wire = new Wire(new Socket(InetAddress.getLoopbackAddress(), port))) {
             wire.write(request);
-            wire.message();
+            return wire.message();
         }
     }
 
--- a/node/src/test/java/weldhitch/node/PackagedNodeIT.java
+++ b/node/src/test/java/weldhitch/node/PackagedNodeIT.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedReader;
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -14,6 +15,7 @@
 import java.util.regex.Pattern;
 import weldhitch.testkit.Message;
 import weldhitch.testkit.Peer;
+import weldhitch.testkit.Tests;
 import weldhitch.testkit.Wire;
 import org.junit.jupiter.api.Test;
 
@@ -92,6 +94,56 @@
         }
     }
 
+    /** The jar holds what reading the file takes, and the signal brings a new one in force, or leaves the last good one. */
+    @Test
+    void takesItsOperatorFileAtTheStartAndOnSighup() throws Exception {
+        Path file = Files.createTempFile("operator", ".toml");
+        Files.writeString(file, "version = 1\n[class.read]\ndeadline = \"7s\"\nattempts = 2\n# end\n");
+        try (NodeProcess node = new NodeProcess(run -> run + " --operator " + file)) {
+            assertEquals(200, node.ask(Harness.get("good")).status());
+            Files.writeString(file, "version = 1\n[class.read]\nattempts = 9\n# end\n");
+            node.hangUp();
+            String said = node.logLine();
+            assertTrue(said.startsWith("the operator file is not taken up, the last good one stays in force: " + file
+                + ":3: error: class.read.attempts: 9 is more than the platform's 4"), said);
+            assertEquals(200, node.ask(Harness.get("still")).status());
+            Files.writeString(file, "version = 1\n[class.read]\ntenants = { \"*\" = 0.001 }\n# end\n");
+            node.hangUp();
+            said = node.logLine();
+            assertTrue(said.endsWith(" is in force: 1 routes"), said);
+            // So few a second that nothing is let in: the new rules are at work.
+            Tests.await(() -> status(node) == 503);
+        } finally {
+            Files.delete(file);
+        }
+    }
+
+    private static int status(NodeProcess node) {
+        try {
+            return node.ask(Harness.get("r" + System.nanoTime())).status();
+        } catch (IOException e) {
+            return 0;
+        }
+    }
+
+    @Test
+    void aBrokenOperatorFileEndsTheStartWithAllThatIsWrong() throws Exception {
+        Path file = Files.createTempFile("operator", ".toml");
+        Files.writeString(file, "version = 1\n[class.read]\nattempts = 9\ndeadlin = \"1s\"\n# end\n");
+        Path config = Files.createTempFile("weldhitch", ".json");
+        Files.write(config, Harness.config("127.0.0.1:9", "", 1024, ""));
+        ProcessBuilder run = run();
+        run.command().set(2, run.command().get(2) + " --operator " + file);
+        run.environment().put("GW_CONFIG", config.toString());
+        Process process = run.start();
+        String said = new String(process.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertEquals(78, process.waitFor());
+        assertTrue(said.contains(file + ":3: error: class.read.attempts: ") && said.contains(file + ":4: error: class.read."
+            + "deadlin: "), said);
+        Files.delete(file);
+        Files.delete(config);
+    }
+
     @Test
     void wrongConfigurationEndsTheStartInOneLine() throws Exception {
         ProcessBuilder run = run();
