--- /dev/null
+++ b/control/src/main/java/weldhitch/control/agent/package-info.java
@@ -0,0 +1,2 @@
+/** An agent's part: what it decides, kept on disk. */
+package weldhitch.control.agent;
--- /dev/null
+++ b/control/src/main/java/weldhitch/control/log/package-info.java
@@ -0,0 +1,2 @@
+/** What an agent must not forget, on disk. */
+package weldhitch.control.log;
