--- /dev/null
+++ b/control/src/main/java/weldhitch/control/certs/Authority.java
@@ -0,0 +1,199 @@
+package weldhitch.control.certs;
+
+import java.io.IOException;
+import java.io.StringReader;
+import java.io.StringWriter;
+import java.math.BigInteger;
+import java.net.InetAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.security.GeneralSecurityException;
+import java.security.KeyPair;
+import java.security.KeyPairGenerator;
+import java.security.PrivateKey;
+import java.security.SecureRandom;
+import java.security.cert.X509Certificate;
+import java.security.spec.ECGenParameterSpec;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Date;
+import java.util.List;
+import java.util.Set;
+import javax.security.auth.x500.X500Principal;
+import org.bouncycastle.asn1.pkcs.PrivateKeyInfo;
+import org.bouncycastle.asn1.x509.BasicConstraints;
+import org.bouncycastle.asn1.x509.ExtendedKeyUsage;
+import org.bouncycastle.asn1.x509.Extension;
+import org.bouncycastle.asn1.x509.GeneralName;
+import org.bouncycastle.asn1.x509.GeneralNames;
+import org.bouncycastle.asn1.x509.KeyPurposeId;
+import org.bouncycastle.asn1.x509.KeyUsage;
+import org.bouncycastle.cert.X509CertificateHolder;
+import org.bouncycastle.cert.jcajce.JcaX509CertificateConverter;
+import org.bouncycastle.cert.jcajce.JcaX509ExtensionUtils;
+import org.bouncycastle.cert.jcajce.JcaX509v3CertificateBuilder;
+import org.bouncycastle.openssl.PEMParser;
+import org.bouncycastle.openssl.jcajce.JcaPEMKeyConverter;
+import org.bouncycastle.openssl.jcajce.JcaPEMWriter;
+import org.bouncycastle.openssl.jcajce.JcaPKCS8Generator;
+import org.bouncycastle.operator.OperatorCreationException;
+import org.bouncycastle.operator.jcajce.JcaContentSignerBuilder;
+
+/**
+ * The fleet's own authority: signs the certificates of agents and operators (X.509, RFC 5280; keys on P-256). Kept as PEM,
+ * {@code ca.pem} for everyone and {@code ca.key} for its owner alone.
+ */
+public final class Authority {
+    private static final SecureRandom RANDOM = new SecureRandom();
+    private static final int SERIAL_BITS = 127;
+
+    private final X509Certificate certificate;
+    private final PrivateKey key;
+
+    private Authority(X509Certificate certificate, PrivateKey key) {
+        this.certificate = certificate;
+        this.key = key;
+    }
+
+    /** A certificate and its key. */
+    public record Issued(X509Certificate certificate, PrivateKey key) {
+        /**
+         * Writes {@code NAME.pem}, and {@code NAME.key} readable by its owner alone.
+         *
+         * @throws IOException also where one of them is there already: nothing is overwritten
+         */
+        public void write(Path directory, String name) throws IOException {
+            Files.createDirectories(directory);
+            Path keyFile = directory.resolve(name + ".key");
+            Files.newByteChannel(keyFile, Set.of(StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE),
+                PosixFilePermissions.asFileAttribute(PosixFilePermissions.fromString("rw-------"))).close();
+            Files.writeString(keyFile, pem(key));
+            Files.writeString(directory.resolve(name + ".pem"), pem(certificate), StandardOpenOption.CREATE_NEW);
+        }
+    }
+
+    /** A new authority. */
+    public static Authority create(String fleet, Instant from, Instant until) throws GeneralSecurityException {
+        KeyPair pair = keys();
+        X500Principal subject = new X500Principal("CN=" + new Identity(null, fleet).name());
+        JcaX509v3CertificateBuilder builder = new JcaX509v3CertificateBuilder(subject, serial(), Date.from(from),
+            Date.from(until), subject, pair.getPublic());
+        try {
+            builder.addExtension(Extension.basicConstraints, true, new BasicConstraints(0));
+            builder.addExtension(Extension.keyUsage, true, new KeyUsage(KeyUsage.keyCertSign | KeyUsage.cRLSign));
+            builder.addExtension(Extension.subjectKeyIdentifier, false,
+                new JcaX509ExtensionUtils().createSubjectKeyIdentifier(pair.getPublic()));
+        } catch (IOException e) {
+            throw new GeneralSecurityException(e);
+        }
+        return new Authority(sign(builder, pair.getPrivate()), pair.getPrivate());
+    }
+
+    /** @throws IOException where {@code ca.pem} or {@code ca.key} is missing or holds something else */
+    public static Authority read(Path directory) throws IOException {
+        Issued read = readPem(directory.resolve("ca.pem"), directory.resolve("ca.key"));
+        return new Authority(read.certificate(), read.key());
+    }
+
+    /** Reads what {@link Issued#write} wrote. */
+    public static Issued readPem(Path certificateFile, Path keyFile) throws IOException {
+        try (PEMParser certificates = new PEMParser(new StringReader(Files.readString(certificateFile)));
+                PEMParser keys = new PEMParser(new StringReader(Files.readString(keyFile)))) {
+            if (!(certificates.readObject() instanceof X509CertificateHolder holder)) {
+                throw new IOException(certificateFile + ": holds no certificate");
+            }
+            if (!(keys.readObject() instanceof PrivateKeyInfo key)) {
+                throw new IOException(keyFile + ": holds no private key");
+            }
+            return new Issued(new JcaX509CertificateConverter().getCertificate(holder),
+                new JcaPEMKeyConverter().getPrivateKey(key));
+        } catch (GeneralSecurityException e) {
+            throw new IOException(certificateFile + ": " + e.getMessage(), e);
+        }
+    }
+
+    public void write(Path directory) throws IOException {
+        new Issued(certificate, key).write(directory, "ca");
+    }
+
+    public X509Certificate certificate() {
+        return certificate;
+    }
+
+    /**
+     * A certificate for an agent, good for serving, or for an operator, good for asking only.
+     *
+     * @param hosts names and addresses that an agent is reached by; none for operators
+     */
+    public Issued issue(Identity who, List<String> hosts, Instant from, Instant until) throws GeneralSecurityException {
+        if (until.isAfter(certificate.getNotAfter().toInstant())) {
+            throw new GeneralSecurityException("the authority itself ends at " + certificate.getNotAfter().toInstant());
+        }
+        KeyPair pair = keys();
+        JcaX509v3CertificateBuilder builder = new JcaX509v3CertificateBuilder(certificate, serial(), Date.from(from),
+            Date.from(until), new X500Principal("CN=" + who.name()), pair.getPublic());
+        List<GeneralName> names = new ArrayList<>(List.of(new GeneralName(GeneralName.uniformResourceIdentifier,
+            who.uri())));
+        for (String host : hosts) {
+            names.add(new GeneralName(isAddress(host) ? GeneralName.iPAddress : GeneralName.dNSName, host));
+        }
+        // Agents ask each other too, to learn what is decided.
+        KeyPurposeId[] purposes = who.isAgent()
+            ? new KeyPurposeId[] {KeyPurposeId.id_kp_serverAuth, KeyPurposeId.id_kp_clientAuth}
+            : new KeyPurposeId[] {KeyPurposeId.id_kp_clientAuth};
+        try {
+            JcaX509ExtensionUtils utils = new JcaX509ExtensionUtils();
+            builder.addExtension(Extension.basicConstraints, true, new BasicConstraints(false));
+            builder.addExtension(Extension.keyUsage, true, new KeyUsage(KeyUsage.digitalSignature));
+            builder.addExtension(Extension.extendedKeyUsage, false, new ExtendedKeyUsage(purposes));
+            builder.addExtension(Extension.authorityKeyIdentifier, false, utils.createAuthorityKeyIdentifier(certificate));
+            builder.addExtension(Extension.subjectAlternativeName, false,
+                new GeneralNames(names.toArray(new GeneralName[0])));
+        } catch (IOException e) {
+            throw new GeneralSecurityException(e);
+        }
+        return new Issued(sign(builder, key), pair.getPrivate());
+    }
+
+    private static boolean isAddress(String host) {
+        // Only what is written as an address is read as one; a name is never looked up.
+        if (!host.matches("[0-9.]+|[0-9a-fA-F:]*:[0-9a-fA-F:.]*")) {
+            return false;
+        }
+        try {
+            return InetAddress.getByName(host) != null;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private static X509Certificate sign(JcaX509v3CertificateBuilder builder, PrivateKey by) throws GeneralSecurityException {
+        try {
+            return new JcaX509CertificateConverter().getCertificate(
+                builder.build(new JcaContentSignerBuilder("SHA256withECDSA").build(by)));
+        } catch (OperatorCreationException e) {
+            throw new GeneralSecurityException(e);
+        }
+    }
+
+    private static KeyPair keys() throws GeneralSecurityException {
+        KeyPairGenerator generator = KeyPairGenerator.getInstance("EC");
+        generator.initialize(new ECGenParameterSpec("secp256r1"), RANDOM);
+        return generator.generateKeyPair();
+    }
+
+    private static BigInteger serial() {
+        return new BigInteger(SERIAL_BITS, RANDOM).add(BigInteger.ONE);
+    }
+
+    private static String pem(Object object) throws IOException {
+        StringWriter text = new StringWriter();
+        try (JcaPEMWriter writer = new JcaPEMWriter(text)) {
+            // PKCS 8, which other programs read too; by itself the writer would take the older form for this curve.
+            writer.writeObject(object instanceof PrivateKey key ? new JcaPKCS8Generator(key, null) : object);
+        }
+        return text.toString();
+    }
+}
