--- a/decision/src/main/java/weldhitch/decision/Latencies.java
+++ b/decision/src/main/java/weldhitch/decision/Latencies.java
@@ -11,7 +11,8 @@
     private static final int FRESH = 32;
 
     private final HedgePercentile wanted;
-    private final long[] last = new long[KEPT];
+    /** Made at the first answer: most of a large file's routes see little traffic or none. */
+    private long[] last;
     private long seen;
     private long percentile;
 
@@ -20,6 +21,7 @@
     }
 
     void add(long latency) {
+        last = last == null ? new long[KEPT] : last;
         last[(int) (seen++ % KEPT)] = latency;
         if (seen >= wanted.samples() && (percentile == 0 || seen % FRESH == 0)) {
             long[] sorted = Arrays.copyOf(last, (int) Math.min(seen, KEPT));
--- a/decision/src/main/java/weldhitch/decision/RatioBalancer.java
+++ b/decision/src/main/java/weldhitch/decision/RatioBalancer.java
@@ -194,6 +194,9 @@
         server.errorShare -= ERROR_STEP * server.errorShare;
         server.zoneFailures.clear();
         r.use.learn(r.cost, latency);
+        if (r.route != null) {
+            r.route.answered(latency);
+        }
         if (!server.isColdListed) {
             earnCredit(1.0 / Math.max(1, ready.size() - cold.size()));
         }
@@ -351,6 +354,9 @@
             refuse(r, spent.untilNext());
             return;
         }
+        if (r.route != null) {
+            r.route.letIn(now);
+        }
         usualRank = usualRank == 0 ? r.rank : usualRank + USUAL_STEP * (r.rank - usualRank);
         retriesSaved = Math.min(MOST_RETRIES_SAVED, retriesSaved + RETRY_SHARE);
         if (cold.size() == ready.size()) {
@@ -378,11 +384,7 @@
             return null;
         }
         Routes.Route route = routes.match(arrival.requestClass(), arrival.method(), arrival.target());
-        RouteUse use = route == null ? null : routeUses.get(route.name());
-        if (use != null) {
-            use.arrived(now);
-        }
-        return use;
+        return route == null ? null : routeUses.get(route.name());
     }
 
     /** Sends the request somewhere, or holds it while waiting may help, or ends it. */
@@ -459,9 +461,6 @@
                     learnLimit(r);
                     served(r, attempt, ended.latency());
                 }
-                if (r.route != null) {
-                    r.route.answered(ended.latency());
-                }
             }
             case ERROR, FULL -> {
                 attempt.server.heardAt = now;
--- a/decision/src/main/java/weldhitch/decision/RouteUse.java
+++ b/decision/src/main/java/weldhitch/decision/RouteUse.java
@@ -29,7 +29,8 @@
         }
     }
 
-    void arrived(long now) {
+    /** A request that its tenant's limit leaves in; what is refused pays for no further attempts. */
+    void letIn(long now) {
         if (budget != null) {
             budget.request(now);
         }
--- a/decision/src/test/java/weldhitch/decision/RouteRulesTest.java
+++ b/decision/src/test/java/weldhitch/decision/RouteRulesTest.java
@@ -190,6 +190,31 @@
         assertEquals(10, hedged.size());
     }
 
+    /** A stream's end says how much was read, not how soon its server answered. */
+    @Test
+    void aStreamCountsByItsFirstByte() {
+        force(rules(0, 0, 2, null, new HedgePercentile(50)));
+        for (int i = 0; i < 20; i++) {
+            String server = sent(arrive("s" + i));
+            node.now += 10 * MS;
+            node.handle(new FirstByte("s" + i, 0, server, 10 * MS));
+            node.end("s" + i, 0, server, Outcome.OK, SECOND);
+            wake(SECOND);
+        }
+        assertEquals(10 * MS, only(arrive("r"), SetTimer.class).orElseThrow().after());
+    }
+
+    @Test
+    void whatATenantsLimitTurnsAwayPaysForNoFurtherAttempts() {
+        force(new RouteRules(0, 0, 0, null, RouteRules.RETRYABLE, new Budget(0.5, 0), new HedgeOff(), null,
+            Map.of("*", 2.0)));
+        String server = sent(arrive("in"));
+        for (int i = 0; i < 10; i++) {
+            assertNull(sent(arrive("out" + i)));
+        }
+        assertNull(sent(node.end("in", 0, server, Outcome.CONNECT_FAILED, MS)), "one of one is more than half");
+    }
+
     @Test
     void tenantsAreHeldToTheirLimitsAndToldWhenToComeAgain() {
         force(new RouteRules(0, 0, 0, null, RouteRules.RETRYABLE, null, null, new Bounds(200 * MS, 800 * MS),
