--- a/node/src/main/java/weldhitch/node/Node.java
+++ b/node/src/main/java/weldhitch/node/Node.java
@@ -126,13 +126,13 @@
 
     /**
      * Takes up from a new configuration what may change while the node runs: the address of discovery, and the routes
-     * of the operator file. Either file changes nothing where it makes no sense. Reads them, so not to be called on
-     * the loop.
+     * of the operator file. Either file changes nothing where it makes no sense. Reads them, and returns when the routes
+     * are in force, so not to be called on the loop.
      */
     void reload(Map<String, String> environment) {
         Routes routes = operator == null ? null : operator.again();
         if (routes != null) {
-            group.next().execute(() -> dispatcher.routes(routes));
+            group.next().submit(() -> dispatcher.routes(routes)).syncUninterruptibly();
         }
         try {
             NodeConfig config = NodeConfig.reload(environment);
@@ -142,11 +142,6 @@
         }
     }
 
-    /** Returns when the loop has done what it was told before. */
-    void settle() throws InterruptedException {
-        group.next().submit(() -> { }).sync();
-    }
-
     /** Ends as planned: returns when all that was taken is answered. */
     void drain() {
         Log.line("draining");
--- a/node/src/test/java/weldhitch/node/AdmissionOnSocketsTest.java
+++ b/node/src/test/java/weldhitch/node/AdmissionOnSocketsTest.java
@@ -102,7 +102,7 @@
                     }
                 }));
             }
-            await(() -> count.get() >= until);
+            Tests.await(() -> count.get() >= until);
             stopped = true;
             for (Thread thread : all) {
                 thread.join(Tests.WAIT_S * 1000L);
@@ -120,7 +120,7 @@
                     (wire.message().status() == 200 ? served : refused).incrementAndGet();
                 });
             }
-            await(() -> inService.get() + refused.get() - before == CLIENTS);
+            Tests.await(() -> inService.get() + refused.get() - before == CLIENTS);
             return inService.get();
         }
 
@@ -137,18 +137,6 @@
         }
     }
 
-    private interface Condition {
-        boolean holds();
-    }
-
-    private static void await(Condition condition) {
-        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(Tests.WAIT_S);
-        while (!condition.holds()) {
-            assertTrue(System.nanoTime() < end, "it never came about");
-            Thread.onSpinWait();
-        }
-    }
-
     /** By a tenth for each answer the limit would be 22 at the most after a hundred of them. */
     @Test
     void aFreshNodeLetsInWhatItsServersCanDoAfterAFewRoundTrips() throws Exception {
--- a/node/src/test/java/weldhitch/node/NodeProcess.java
+++ b/node/src/test/java/weldhitch/node/NodeProcess.java
@@ -60,6 +60,10 @@
     }
 
     void hangUp() throws Exception {
+        hangUp(process);
+    }
+
+    static void hangUp(Process process) throws Exception {
         if (new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor() != 0) {
             throw new IOException("no such process");
         }
@@ -87,13 +91,17 @@
     }
 
     Message ask(String request) throws IOException {
+        return ask(port, request);
+    }
+
+    static Message ask(int port, String request) throws IOException {
         try (Wire wire = new Wire(new Socket(InetAddress.getLoopbackAddress(), port))) {
             wire.write(request);
             return wire.message();
         }
     }
 
-    private static int freePort() throws IOException {
+    static int freePort() throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return socket.getLocalPort();
         }
--- a/node/src/test/java/weldhitch/node/PackagedNodeIT.java
+++ b/node/src/test/java/weldhitch/node/PackagedNodeIT.java
@@ -5,18 +5,14 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import weldhitch.testkit.Message;
 import weldhitch.testkit.Peer;
 import weldhitch.testkit.Tests;
-import weldhitch.testkit.Wire;
 import org.junit.jupiter.api.Test;
 
 /** Starts the real node by the command that the deploy file names. */
@@ -42,17 +38,17 @@
                 Matcher listens = Pattern.compile("listens on /127\\.0\\.0\\.1:(\\d+)").matcher(log.readLine());
                 assertTrue(listens.find());
                 int port = Integer.parseInt(listens.group(1));
-                assertEquals("hello", ask(port, Harness.get("1")).text());
+                assertEquals("hello", NodeProcess.ask(port, Harness.get("1")).text());
                 Files.writeString(config, "nonsense");
-                hangUp(process);
+                NodeProcess.hangUp(process);
                 assertTrue(log.readLine().startsWith("the new configuration is not taken up: GW_CONFIG"));
-                assertEquals("hello", ask(port, Harness.get("1b")).text());
+                assertEquals("hello", NodeProcess.ask(port, Harness.get("1b")).text());
                 Files.write(config, Harness.config("127.0.0.1:9", hosts, 1024, ""));
-                hangUp(process);
+                NodeProcess.hangUp(process);
                 assertEquals("discovery: moves to /127.0.0.1:9", log.readLine());
                 process.destroy();
                 // Connections that still come are answered, and told to close.
-                assertEquals(200, ask(port, Harness.get("2")).status());
+                assertEquals(200, NodeProcess.ask(port, Harness.get("2")).status());
                 assertEquals(128 + 15, process.waitFor());
             } finally {
                 process.destroyForcibly();
@@ -63,17 +59,6 @@
         }
     }
 
-    private static void hangUp(Process process) throws Exception {
-        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
-    }
-
-    private static Message ask(int port, String request) throws Exception {
-        try (Wire wire = new Wire(new Socket(InetAddress.getLoopbackAddress(), port))) {
-            wire.write(request);
-            return wire.message();
-        }
-    }
-
     /**
      * With a list that had fallen behind the code, 160 classes were read from the jar or spun in a node's first second,
      * 20 of them before it listened: on a busy machine half of the time until it was ready.
--- a/node/src/test/java/weldhitch/node/RestartMeasure.java
+++ b/node/src/test/java/weldhitch/node/RestartMeasure.java
@@ -1,9 +1,7 @@
 package weldhitch.node;
 
-import java.io.BufferedReader;
 import java.io.IOException;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -45,7 +43,7 @@
     private static int restart(boolean asked, List<Long> ready, List<Long> closed, List<Long> ended) throws Exception {
         Path config = Files.createTempFile("restart", ".json");
         Peer server = Peer.answering(m -> Harness.ok("x"));
-        int port = freePort();
+        int port = NodeProcess.freePort();
         String hosts = Harness.host("s", server.address());
         try (Peer discovery = Harness.discovery(hosts)) {
             // The classes of the service it was built for: 3 s at the longest, wanted within 1.2 s.
@@ -119,12 +117,6 @@
             || Files.readString(Path.of("/proc/net/tcp6")).matches(listening);
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        }
-    }
-
     private static String spread(List<Long> millis) {
         Collections.sort(millis);
         return millis.get(0) + " to " + millis.get(millis.size() - 1) + " (median " + millis.get(millis.size() / 2) + ")";
--- a/node/src/test/java/weldhitch/node/RoutesOnSocketsTest.java
+++ b/node/src/test/java/weldhitch/node/RoutesOnSocketsTest.java
@@ -62,12 +62,11 @@
             Files.writeString(file, "version = 1\n" + rules + "\n# end\n");
         }
 
-        /** What SIGHUP does; returns when the rules that it found are in force, as the loop runs what it is told in order. */
+        /** What SIGHUP does; returns when the rules that it found are in force. */
         void reload() throws Exception {
             Path platform = directory.resolve("platform.json");
             Files.write(platform, config);
             node.node.reload(Map.of("GW_CONFIG", platform.toString()));
-            node.node.settle();
         }
 
         int attempts(String id) {
--- a/node/src/test/java/weldhitch/node/StreamTest.java
+++ b/node/src/test/java/weldhitch/node/StreamTest.java
@@ -102,30 +102,23 @@
     @Test
     void slowReaderHoldsTheServerBack() throws Exception {
         AtomicLong sent = new AtomicLong();
-        CountDownLatch stuck = new CountDownLatch(1);
+        AtomicLong sentAt = new AtomicLong();
         byte[] body = noise(32 << 20);
         Peer server = new Peer(wire -> {
             wire.head();
             wire.write("HTTP/1.1 200 OK\r\nContent-Length: " + body.length + "\r\n\r\n");
-            Thread watch = Tests.daemon(() -> {
-                long before = -1;
-                while (before != sent.get()) {
-                    before = sent.get();
-                    Thread.sleep(300);
-                }
-                stuck.countDown();
-            });
             for (int at = 0; at < body.length; at += 8192) {
                 wire.write(java.util.Arrays.copyOfRange(body, at, Math.min(body.length, at + 8192)));
+                sentAt.set(System.nanoTime());
                 sent.addAndGet(8192);
             }
-            watch.join();
         });
         try (Harness h = Harness.start(server)) {
             Wire wire = h.client();
             wire.write(feed("1"));
             wire.head();
-            assertTrue(stuck.await(Tests.WAIT_S, java.util.concurrent.TimeUnit.SECONDS));
+            // Stuck: nothing more could be written for 300 ms.
+            Tests.await(() -> sent.get() > 0 && System.nanoTime() - sentAt.get() > 300_000_000L);
             assertTrue(sent.get() < body.length, "the node took all of it in for a client that reads nothing");
             assertArrayEquals(body, wire.bytes(body.length));
         }
