--- a/control/src/main/java/weldhitch/control/agent/DurableAcceptor.java
+++ b/control/src/main/java/weldhitch/control/agent/DurableAcceptor.java
@@ -53,7 +53,7 @@
      */
     public Reply on(Message message) throws IOException {
         if (!votes() && !(message instanceof Message.Decide)) {
-            return new Reply.Passed(name, message.generation());
+            return new Reply.Abstains(name);
         }
         Acceptor next = new Acceptor(name, acceptor.kept());
         Reply reply = next.on(message);
--- a/control/src/main/java/weldhitch/control/log/StateLog.java
+++ b/control/src/main/java/weldhitch/control/log/StateLog.java
@@ -160,7 +160,7 @@
             throw new IOException(file + ": a state of " + next.length + " bytes, " + LONGEST + " at most");
         }
         if (broken) {
-            throw new IOException(file + ": a write before could not be taken back; open it again");
+            throw new IOException(file + ": a write or rename before may not hold; open it again");
         }
         ByteBuffer record = record(next);
         try {
@@ -198,12 +198,18 @@
                 Files.deleteIfExists(beside());
                 return;
             }
-            channel.close();
+            FileChannel longer = channel;
             channel = shorter;
             end = record.limit();
-            syncDirectory();
+            try {
+                syncDirectory();
+            } catch (IOException e) {
+                // A crash might bring the longer file back, without what is written from here on.
+                broken = true;
+            }
+            longer.close();
         } catch (IOException e) {
-            // Tried again at the next write.
+            // The file in use is whole, long or short; a long one is tried again at the next write.
         }
     }
 
--- a/control/src/main/java/weldhitch/control/order/Reply.java
+++ b/control/src/main/java/weldhitch/control/order/Reply.java
@@ -20,6 +20,10 @@
     record Decided(String agent, Epoch epoch) implements Reply {
     }
 
+    /** This agent may have forgotten what it promised, and takes no part. */
+    record Abstains(String agent) implements Reply {
+    }
+
     /** The generation is past, and this agent does not know what was decided in it. */
     record Passed(String agent, long generation) implements Reply {
     }
