--- a/bench/src/main/java/weldhitch/bench/RequestPath.java
+++ b/bench/src/main/java/weldhitch/bench/RequestPath.java
@@ -4,31 +4,16 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import org.openjdk.jmh.annotations.Benchmark;
-import org.openjdk.jmh.annotations.BenchmarkMode;
-import org.openjdk.jmh.annotations.Fork;
-import org.openjdk.jmh.annotations.Measurement;
-import org.openjdk.jmh.annotations.Mode;
-import org.openjdk.jmh.annotations.OutputTimeUnit;
 import org.openjdk.jmh.annotations.Param;
-import org.openjdk.jmh.annotations.Scope;
 import org.openjdk.jmh.annotations.Setup;
-import org.openjdk.jmh.annotations.State;
-import org.openjdk.jmh.annotations.Warmup;
 import weldhitch.decision.Balancing.*;
 import weldhitch.decision.FlatSettings;
 import weldhitch.decision.RatioBalancer;
 import weldhitch.operator.OperatorFile;
 
 /** The decisions of one served request, from arrival to answer, with no operator file, a small one and a large one. */
-@State(Scope.Thread)
-@BenchmarkMode(Mode.AverageTime)
-@OutputTimeUnit(TimeUnit.NANOSECONDS)
-@Warmup(iterations = 3, time = 1)
-@Measurement(iterations = 5, time = 1)
-@Fork(2)
-public class RequestPath {
+public class RequestPath extends Nanoseconds {
     private static final long STEP = 1_000_000L;
 
     @Param({"none", "1", "1000"})
--- a/bench/src/main/java/weldhitch/bench/RouteMatch.java
+++ b/bench/src/main/java/weldhitch/bench/RouteMatch.java
@@ -2,31 +2,16 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import org.openjdk.jmh.annotations.Benchmark;
-import org.openjdk.jmh.annotations.BenchmarkMode;
-import org.openjdk.jmh.annotations.Fork;
-import org.openjdk.jmh.annotations.Measurement;
-import org.openjdk.jmh.annotations.Mode;
-import org.openjdk.jmh.annotations.OutputTimeUnit;
 import org.openjdk.jmh.annotations.Param;
-import org.openjdk.jmh.annotations.Scope;
 import org.openjdk.jmh.annotations.Setup;
-import org.openjdk.jmh.annotations.State;
-import org.openjdk.jmh.annotations.Warmup;
 import weldhitch.decision.RoutePattern;
 import weldhitch.decision.RouteRules;
 import weldhitch.decision.Routes;
 import weldhitch.decision.Routes.Route;
 
 /** What it costs to find a request's route among many, half of them templates. */
-@State(Scope.Thread)
-@BenchmarkMode(Mode.AverageTime)
-@OutputTimeUnit(TimeUnit.NANOSECONDS)
-@Warmup(iterations = 3, time = 1)
-@Measurement(iterations = 5, time = 1)
-@Fork(2)
-public class RouteMatch {
+public class RouteMatch extends Nanoseconds {
     @Param({"10", "100", "1000"})
     private int count;
     private Routes routes;
