--- a/control/src/main/java/weldhitch/control/log/StateLog.java
+++ b/control/src/main/java/weldhitch/control/log/StateLog.java
@@ -29,7 +29,7 @@
     private final Path file;
     private final long compactAt;
     private final FileChannel lockChannel;
-    private final Appender appender;
+    private final Device device;
     private FileChannel channel;
     private byte[] state;
     private long end;
@@ -37,8 +37,8 @@
     private boolean suspect;
     private boolean broken;
 
-    private StateLog(Path file, long compactAt, FileChannel lockChannel, Appender appender) {
-        this.appender = appender;
+    private StateLog(Path file, long compactAt, FileChannel lockChannel, Device device) {
+        this.device = device;
         this.file = file;
         this.compactAt = compactAt;
         this.lockChannel = lockChannel;
@@ -51,10 +51,10 @@
      * @throws IOException also where another process holds it
      */
     public static StateLog open(Path file, long compactAt) throws IOException {
-        return open(file, compactAt, StateLog::append);
+        return open(file, compactAt, new Device() { });
     }
 
-    static StateLog open(Path file, long compactAt, Appender appender) throws IOException {
+    static StateLog open(Path file, long compactAt, Device device) throws IOException {
         Path lockFile = file.resolveSibling(file.getFileName() + ".lock");
         FileChannel lockChannel = FileChannel.open(lockFile, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
         try {
@@ -67,7 +67,7 @@
             if (lock == null) {
                 throw new IOException(file + ": another agent holds it");
             }
-            StateLog log = new StateLog(file, compactAt, lockChannel, appender);
+            StateLog log = new StateLog(file, compactAt, lockChannel, device);
             log.read();
             return log;
         } catch (IOException e) {
@@ -164,7 +164,7 @@
         }
         ByteBuffer record = record(next);
         try {
-            appender.append(channel, record, end);
+            device.append(channel, record, end);
         } catch (IOException e) {
             takeBack(e);
             throw e;
@@ -191,7 +191,7 @@
         try {
             FileChannel shorter = create(beside(), StandardOpenOption.CREATE_NEW);
             try {
-                appender.append(shorter, record, 0);
+                device.append(shorter, record, 0);
                 Files.move(beside(), file, StandardCopyOption.ATOMIC_MOVE);
             } catch (IOException e) {
                 shorter.close();
@@ -213,9 +213,19 @@
         }
     }
 
-    /** Writes a record and puts it on the device. */
-    interface Appender {
-        void append(FileChannel to, ByteBuffer record, long at) throws IOException;
+    /** What a log asks of the machine, which may refuse it. */
+    interface Device {
+        /** Writes a record and puts it on the device. */
+        default void append(FileChannel to, ByteBuffer record, long at) throws IOException {
+            StateLog.append(to, record, at);
+        }
+
+        /** Puts the names of a directory's files on the device. */
+        default void sync(Path directory) throws IOException {
+            try (FileChannel channel = FileChannel.open(directory, StandardOpenOption.READ)) {
+                channel.force(true);
+            }
+        }
     }
 
     static void append(FileChannel to, ByteBuffer record, long at) throws IOException {
@@ -241,9 +251,7 @@
     }
 
     private void syncDirectory() throws IOException {
-        try (FileChannel directory = FileChannel.open(file.toAbsolutePath().getParent(), StandardOpenOption.READ)) {
-            directory.force(true);
-        }
+        device.sync(file.toAbsolutePath().getParent());
     }
 
     private static ByteBuffer record(byte[] state) {
--- a/control/src/test/java/weldhitch/control/log/StateLogTest.java
+++ b/control/src/test/java/weldhitch/control/log/StateLogTest.java
@@ -124,13 +124,15 @@
         write("one");
         AtomicBoolean isFull = new AtomicBoolean(true);
         try (FileChannel full = FileChannel.open(Path.of("/dev/full"), StandardOpenOption.WRITE);
-                StateLog log = StateLog.open(file(), MANY, (to, record, at) -> {
-                    if (isFull.get()) {
-                        ByteBuffer half = record.duplicate().limit(record.limit() / 2);
-                        StateLog.append(to, half, at);
-                        StateLog.append(full, record, at);
+                StateLog log = StateLog.open(file(), MANY, new StateLog.Device() {
+                    @Override
+                    public void append(FileChannel to, ByteBuffer record, long at) throws IOException {
+                        if (isFull.get()) {
+                            StateLog.append(to, record.duplicate().limit(record.limit() / 2), at);
+                            StateLog.append(full, record, at);
+                        }
+                        StateLog.append(to, record, at);
                     }
-                    StateLog.append(to, record, at);
                 })) {
             IOException e = assertThrows(IOException.class, () -> log.write(bytes("two")));
             assertTrue(e.getMessage().contains("No space left"), e.toString());
@@ -146,6 +148,33 @@
         }
     }
 
+    /** The rename is seen by this process, and a crash might still bring the longer file back. */
+    @Test
+    void afterARenameThatMayNotLastNothingMoreIsAcknowledged() throws Exception {
+        AtomicBoolean fails = new AtomicBoolean();
+        try (StateLog log = StateLog.open(file(), 100, new StateLog.Device() {
+                @Override
+                public void sync(Path names) throws IOException {
+                    if (fails.get()) {
+                        throw new IOException("the device refuses");
+                    }
+                    StateLog.Device.super.sync(names);
+                }
+            })) {
+            log.write(bytes("one"));
+            fails.set(true);
+            int written = 0;
+            while (log.size() >= written) {
+                written = (int) log.size();
+                log.write(bytes("state " + written));
+            }
+            String last = new String(log.state());
+            assertThrows(IOException.class, () -> log.write(bytes("more")));
+            assertEquals(last, new String(log.state()));
+        }
+        write("again");
+    }
+
     @Test
     void oneProcessAtATimeHoldsIt() throws Exception {
         try (StateLog log = open()) {
