--- a/operator/src/main/java/weldhitch/operator/OperatorFile.java
+++ b/operator/src/main/java/weldhitch/operator/OperatorFile.java
@@ -42,7 +42,11 @@
     private final Routes routes;
     private final Map<String, Map<Key, Setting>> sources;
 
-    private OperatorFile(List<Problem> problems, Routes routes, Map<String, Map<Key, Setting>> sources) {
+    private final Settings platform;
+
+    private OperatorFile(List<Problem> problems, Routes routes, Map<String, Map<Key, Setting>> sources,
+            Settings platform) {
+        this.platform = platform;
         this.problems = problems.stream().sorted(Comparator.comparingInt(Problem::line)).toList();
         this.routes = routes;
         this.sources = sources;
@@ -79,7 +83,7 @@
     }
 
     private static OperatorFile unusable(Path file, int line, String what, String instead) {
-        return new OperatorFile(List.of(new Problem(file.toString(), line, "", what, instead, false)), null, Map.of());
+        return new OperatorFile(List.of(new Problem(file.toString(), line, "", what, instead, false)), null, Map.of(), null);
     }
 
     /** Checks a file's text; {@code file} is what problems call it. */
@@ -105,7 +109,7 @@
             int line = twice > 0 ? twice : e.getLocation() == null ? 0 : e.getLocation().getLineNr();
             problems.add(new Problem(file, line, "", "is no TOML: " + e.getOriginalMessage().lines().findFirst().orElse(""),
                 "mend this line; what comes after it was not looked at", false));
-            return new OperatorFile(problems, null, Map.of());
+            return new OperatorFile(problems, null, Map.of(), platform);
         }
         Lines lines = new Lines(text);
         List<Section> sections = new Reader(file, lines, problems).read(root);
@@ -115,7 +119,7 @@
         List<Route> routes = new ArrayList<>();
         compile(sections, platform, checker, routes, sources);
         boolean usable = problems.stream().allMatch(Problem::warning);
-        return new OperatorFile(problems, usable ? new Routes(routes) : null, sources);
+        return new OperatorFile(problems, usable ? new Routes(routes) : null, sources, platform);
     }
 
     /** A route of any class becomes one for each class, as each has defaults of its own. */
@@ -212,13 +216,29 @@
         for (Key key : Key.values()) {
             Setting setting = rules.get(key);
             if (key != Key.EXPECTED) {
-                all.add(setting == null ? new Rule(key.text, "-", "platform")
+                all.add(setting == null ? new Rule(key.text, platforms(key, requestClass), "platform")
                     : new Rule(key.text, text(setting.value()), setting.source() + ", line " + setting.line()));
             }
         }
         return new Explanation(route == null ? null : route.group(), all);
     }
 
+    /** What holds where the file says nothing; {@code -} where that is the node's own to decide, or not known here. */
+    private String platforms(Key key, String requestClass) {
+        if (platform == null) {
+            return "-";
+        }
+        return switch (key) {
+            case DEADLINE -> platform.classes().stream().filter(c -> c.name().equals(requestClass))
+                .map(c -> Spans.text(c.deadline())).findFirst().orElse("-");
+            case ATTEMPTS -> Integer.toString(platform.limits().maxAttempts());
+            case HEDGE -> platform.limits().secondCopies() ? "-" : "off";
+            case RETRY_AFTER -> platform.limits().retryAfter()
+                ? "min 0us, max " + Spans.text(platform.limits().maxRetryAfter()) : "none";
+            default -> "-";
+        };
+    }
+
     private static String text(Object value) {
         if (value instanceof Long span) {
             return Spans.text(span);
--- a/operator/src/test/java/weldhitch/operator/OperatorFileTest.java
+++ b/operator/src/test/java/weldhitch/operator/OperatorFileTest.java
@@ -101,6 +101,9 @@
         assertEquals(new Rule("deadline", "4s", "class book, line 9"),
             rule(sound.explain("book", "GET", "/book/7"), "deadline"));
         assertEquals("defaults", sound.explain("feed", "GET", "/feed").route());
+        assertEquals(new Rule("deadline", "8s", "platform"), rule(sound.explain("feed", "GET", "/feed"), "deadline"));
+        assertEquals(new Rule("attempts", "4", "platform"),
+            rule(parse("version = 1\n# end\n").explain("feed", "GET", "/feed"), "attempts"));
         assertNull(parse("version = 1\n# end\n").explain("feed", "GET", "/feed").route());
     }
 
