--- a/decision/src/main/java/weldhitch/decision/RatioBalancer.java
+++ b/decision/src/main/java/weldhitch/decision/RatioBalancer.java
@@ -898,7 +898,8 @@
                 return about.aim() > 0 ? about.aim() / 4.0 : 1e8;
             }
             double slope = costVariance > 1e-12 ? covariance / costVariance : 0;
-            return Math.max(trip / 5, trip + Math.max(0, slope) * (hint - cost));
+            // Answers that came in the instant of their sending must not make it nothing: means are divided by it.
+            return Math.max(1, Math.max(trip / 5, trip + Math.max(0, slope) * (hint - cost)));
         }
 
         /** How long an attempt may take before a further one is worth its work. */
--- a/decision/src/test/java/weldhitch/decision/DrawTest.java
+++ b/decision/src/test/java/weldhitch/decision/DrawTest.java
@@ -126,4 +126,16 @@
         node.now += 1000 * MS;
         assertTrue(frequencies(node).getOrDefault("b", 0.0) < 0.05);
     }
+
+    /** Events of one instant: a mean over no time at all once left every chance undefined, and the draw without a server. */
+    @Test
+    void answersInTheInstantOfTheirSendingLeaveServersToDraw() {
+        Node node = Node.plain().list("a", "b");
+        for (int i = 0; i < 50; i++) {
+            String server = sent(node.arrive("r" + i, "read"));
+            node.arrive("open" + i, "write");
+            node.end("r" + i, 0, server, Outcome.OK, 0);
+        }
+        assertTrue(sent(node.arrive("last", "read")) != null);
+    }
 }
--- a/decision/src/test/java/weldhitch/decision/sim/RecoveryTest.java
+++ b/decision/src/test/java/weldhitch/decision/sim/RecoveryTest.java
@@ -20,14 +20,14 @@
     private static final int LENGTH_S = 24;
 
     /** Two of four servers take nothing for 4 s, from 6 s to 10 s. */
-    private static Fleet stall(long seed, int tier) {
+    static Fleet stall(long seed, int tier) {
         Fleet fleet = new Fleet(seed, new Site(tier, 2, 4, 0.75, 100, LENGTH_S));
         fleet.stall(2, 6 * SECOND, 4 * SECOND);
         return fleet;
     }
 
     /** Three of four servers replaced with up to two away at once, then a rolling restart of both nodes. */
-    private static Fleet release(long seed) {
+    static Fleet release(long seed) {
         Fleet fleet = new Fleet(seed, new Site(0, 2, 4, 0.56, 4, LENGTH_S));
         if (seed % 2 == 1) {
             fleet.breakServer(3, SECOND, 7 * SECOND);
--- a/decision/src/test/java/weldhitch/decision/sim/SimulatedNode.java
+++ b/decision/src/test/java/weldhitch/decision/sim/SimulatedNode.java
@@ -12,6 +12,8 @@
 final class SimulatedNode {
     private static final long WAY = 500_000L;
 
+    /** Of all that the module has decided. */
+    long digest;
     private final Clockwork clock;
     private final Map<String, SimulatedServer> servers;
     private final Settings settings;
@@ -108,9 +110,9 @@
         }
         delivering = true;
         for (Event next = events.poll(); next != null; next = events.poll()) {
-            for (Action action : module.handle(clock.now(), next)) {
-                carryOut(action);
-            }
+            List<Action> actions = module.handle(clock.now(), next);
+            digest = Digest.of(digest, clock.now(), actions);
+            actions.forEach(this::carryOut);
         }
         delivering = false;
     }
