--- a/cli/src/test/java/weldhitch/HouseTest.java
+++ b/cli/src/test/java/weldhitch/HouseTest.java
@@ -22,7 +22,8 @@
     static final ArchRule decisionsUseCollectionsAndMathsAlone = classes()
         .that().resideInAnyPackage(DECISIONS)
         .should().onlyDependOnClassesThat()
-        .resideInAnyPackage("weldhitch.decision..", "weldhitch.control.order..", "weldhitch.control.fleet..", "java.lang", "java.lang.invoke", "java.lang.runtime", "java.util",
+        .resideInAnyPackage("weldhitch.decision..", "weldhitch.control.order..", "weldhitch.control.fleet..", "org.apache.commons.rng..",
+            "java.lang", "java.lang.invoke", "java.lang.runtime", "java.util",
             "java.util.function", "java.util.stream");
 
     @ArchTest
@@ -36,6 +37,13 @@
         .orShould().callMethod(System.class, "currentTimeMillis")
         .orShould().callMethod(Math.class, "random");
 
+    /** Their order would differ between runs; what is saved and played again must not hang on it. */
+    @ArchTest
+    static final ArchRule theBalancerKeepsNothingInHashOrder = noClasses()
+        .that().resideInAPackage("weldhitch.decision..")
+        .should().callConstructor(java.util.HashMap.class).orShould().callConstructor(java.util.HashSet.class)
+        .orShould().dependOnClassesThat().haveFullyQualifiedName("java.util.SplittableRandom");
+
     @ArchTest
     static final ArchRule noCirclesBetweenPackages = slices().matching("weldhitch.(*)..").should().beFreeOfCycles();
 
--- a/decision/src/main/java/weldhitch/decision/AdmissionLimit.java
+++ b/decision/src/main/java/weldhitch/decision/AdmissionLimit.java
@@ -13,18 +13,18 @@
     private static final double LATE_SHARE = 0.1;
     private static final int SLOW_ENOUGH = 4;
 
-    private double limit = LEAST;
-    private int admitted;
+    double limit = LEAST;
+    int admitted;
     /** Whether answers have moved the limit from its first guess. */
-    private boolean learning;
+    boolean learning;
     /** Whether nothing has yet told that servers have enough. */
-    private boolean starting = true;
+    boolean starting = true;
     /** The quickest answer so far, as a share of its aim. */
-    private double quickest = Double.MAX_VALUE;
+    double quickest = Double.MAX_VALUE;
     /** By how many the slow answers of the slow start outnumber the quick ones, never below 0. */
-    private int slow;
+    int slow;
     /** The strength of the servers that the limit stands for. */
-    private double learnedOver = 1;
+    double learnedOver = 1;
 
     boolean hasRoom(boolean worthMore) {
         return admitted < (worthMore ? limit : OPEN_TO_ALL * limit);
--- a/decision/src/main/java/weldhitch/decision/Latencies.java
+++ b/decision/src/main/java/weldhitch/decision/Latencies.java
@@ -6,15 +6,15 @@
 /** A percentile of the last answers' latencies. */
 final class Latencies {
     /** Answers that it is taken over; as many as the highest percentile needs. */
-    private static final int KEPT = 1024;
+    static final int KEPT = 1024;
     /** It is taken anew after so many answers. */
     private static final int FRESH = 32;
 
-    private final HedgePercentile wanted;
+    final HedgePercentile wanted;
     /** Made at the first answer: most of a large file's routes see little traffic or none. */
-    private long[] last;
-    private long seen;
-    private long percentile;
+    long[] last;
+    long seen;
+    long percentile;
 
     Latencies(HedgePercentile wanted) {
         this.wanted = wanted;
--- a/decision/src/main/java/weldhitch/decision/Quota.java
+++ b/decision/src/main/java/weldhitch/decision/Quota.java
@@ -2,10 +2,10 @@
 
 /** A token bucket: so many a second, saved up for one second at most, one at least. */
 final class Quota {
-    private final double perSecond;
-    private double left;
-    private long at;
-    private boolean used;
+    final double perSecond;
+    double left;
+    long at;
+    boolean used;
 
     Quota(double perSecond) {
         this.perSecond = perSecond;
--- a/decision/src/main/java/weldhitch/decision/RatioBalancer.java
+++ b/decision/src/main/java/weldhitch/decision/RatioBalancer.java
@@ -1,97 +1,65 @@
 package weldhitch.decision;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
-import java.util.SplittableRandom;
 import weldhitch.decision.Balancing.*;
+import weldhitch.decision.Watch.Why;
 
 /**
- * All decisions of a balancer node. Its settings, events and actions are in Balancing.java.
- *
- * <p>Mechanism: the averaged Ratio approach (Kueting et al., section 3.2). A server's mean t is that of this
- * node's own last completed round trips; with t_b the lowest, f = t_b / t and p = f / sum(f); two servers are
- * drawn by p with replacement and the lower mean is sent to.
+ * All decisions of a balancer node. Its settings, events and actions are in Balancing.java, what it knows in
+ * {@link BalancerState}, the choice of a server in {@link RatioDraw}.
  *
  * <p>Rules, and where each is kept: one final answer in time (deadlines, {@link #finish}); no effect twice
- * ({@link #mayAttempt}, {@link #mayRefuse}); drains ({@link #draw}: only READY servers); cold servers
- * ({@link #earnCredit}). Single-threaded; time is what the caller hands over; only the seed is random.
+ * ({@link #hindrance}, {@link #mayRefuse}); drains and cold servers ({@link Upstreams}, {@link RatioDraw}: ready servers
+ * alone, cold ones by credit). Single-threaded; time is what the caller hands over; only the seed is random.
  */
 public final class RatioBalancer {
-    /** Round trips a server's mean is taken over (the paper's averaged variant). */
-    private static final int WINDOW = 20;
-    /** Time in which an old mean loses most of its distance to t_b, and a failure count its height. */
-    private static final double FADE = 10e9;
-    private static final double FAILURE_FADE = 5e9;
-    private static final double ERROR_STEP = 0.1;
-    private static final double LEAST_CHANCE = 0.02;
-    private static final double USUAL_STEP = 0.02;
     private static final double RETRY_SHARE = 0.1;
-    private static final double MOST_RETRIES_SAVED = 10;
-    /** How much of a warm server's served calls, scaled by its present capacity, a cold one is sent. */
-    private static final double COLD_SHARE = 1.0;
-    private static final int SPAN = 12;
-    private static final int SHARERS = 4;
-    /** How much slower a server of another zone reads, for each unit of the price of crossing. */
-    private static final double CROSSING = 50;
     private static final long HOLD_STEP = 20_000_000L;
 
     private final Settings settings;
-    private final SplittableRandom random;
-    private final Map<String, Server> servers = new LinkedHashMap<>();
-    private final Map<String, Failures> zones = new HashMap<>();
-    private final List<Server> ready = new ArrayList<>();
-    private final List<Server> around = new ArrayList<>();
-    private final List<Server> cold = new ArrayList<>();
-    private final Map<String, ClassUse> classes = new HashMap<>();
-    private final ClassUse unknownClass;
-    private final Map<String, Request> requests = new HashMap<>();
-    private final PriorityQueue<Due> due = new PriorityQueue<>();
-    private final PriorityQueue<Request> waiting = new PriorityQueue<>();
-    private final Map<String, Quota> quotas = new HashMap<>();
-    /** What an operator's routes allow; null where there are none. */
-    private Routes routes;
-    private Map<String, RouteUse> routeUses = Map.of();
-    private double usualRank;
-    private double usualWorth;
-    private final AdmissionLimit limit = new AdmissionLimit();
-    private double[] chance = new double[16];
-    private double retriesSaved = MOST_RETRIES_SAVED / 2;
-    private long armedFor = Long.MAX_VALUE;
-    private long dueCount;
-    private boolean started;
-    private boolean asked;
-    private boolean subscribed;
-    private int refusedAsks;
+    private final BalancerState state;
+    private final RatioDraw draw;
+    /** Told why; null at work. */
+    private final Watch watch;
     private long now;
     private List<Action> actions;
 
     public RatioBalancer(Settings settings, long seed) {
-        this.settings = java.util.Objects.requireNonNull(settings, "settings");
-        this.random = new SplittableRandom(seed);
-        for (RequestClass c : settings.classes()) {
-            classes.put(c.name(), new ClassUse(c));
-        }
-        for (Tenant tenant : settings.tenants()) {
-            if (tenant.quotaPerSecond() > 0) {
-                quotas.put(tenant.name(), new Quota(tenant.quotaPerSecond() / settings.siblings()));
-            }
-        }
-        unknownClass = new ClassUse(
-            new RequestClass("", Effect.UNSAFE, KeyGroup.ALL, 0, 0, 0, 0, 1, 0, false));
+        this(new BalancerState(settings, new SeededRandom(seed)), null);
+    }
+
+    private RatioBalancer(BalancerState state, Watch watch) {
+        this.settings = state.settings;
+        this.state = state;
+        this.draw = new RatioDraw(settings, state.list, state.random);
+        this.watch = watch;
+    }
+
+    /**
+     * A module that knows what another one knew, and decides from there on as that one would, bit for bit.
+     *
+     * @param settings those of the other one
+     * @param watch what is told why, or null
+     * @throws IllegalArgumentException where the snapshot can't be of a module with these settings, naming the field
+     */
+    public static RatioBalancer restore(Settings settings, Snapshot snapshot, Watch watch) {
+        return new RatioBalancer(Snapshots.restore(settings, snapshot), watch);
+    }
+
+    /** All that this module knows, between two events. */
+    public Snapshot snapshot() {
+        return Snapshots.take(state);
     }
 
     /** Takes one event at the caller's time and returns what to do, in order. */
     public List<Action> handle(long nowNanos, Event event) {
         now = nowNanos;
         actions = new ArrayList<>(4);
-        if (!started) {
-            started = true;
+        if (!state.started) {
+            state.started = true;
             planFirstSubscription();
         }
         if (event instanceof Arrival arrival) {
@@ -107,309 +75,182 @@
         } else if (event instanceof NewRoutes news) {
             onNewRoutes(news.routes());
         } else if (event instanceof ClientGone gone) {
-            Request r = requests.get(gone.request());
+            Request r = state.requests.get(gone.request());
             if (r != null) {
                 close(r);
             }
         }
         admitWaiting();
-        armTimer();
+        long after = state.timers.arm(now);
+        if (after >= 0) {
+            actions.add(new SetTimer(after, "due"));
+        }
         return actions;
     }
 
+    private void tell(Request r, Why why) {
+        if (watch != null) {
+            watch.decided(now, r.id, why);
+        }
+    }
+
     // ---- membership ----
 
     private void onMembership(Membership news) {
         if (news.kind() == ListKind.REFUSED) {
-            asked = false;
-            subscribed = false;
-            refusedAsks = Math.min(refusedAsks + 1, 6);
-            double wait = Math.min(1e9 * (1 << refusedAsks), 0.8 * settings.rules().askEvery());
-            plan(now + (long) (wait * (0.5 + random.nextDouble() / 2)), null);
+            state.asked = false;
+            state.subscribed = false;
+            state.refusedAsks = Math.min(state.refusedAsks + 1, 6);
+            double wait = Math.min(1e9 * (1 << state.refusedAsks), 0.8 * settings.rules().askEvery());
+            state.timers.plan(now + (long) (wait * (0.5 + state.random.nextDouble() / 2)), null);
             return;
         }
-        if (news.kind() != ListKind.REMEMBERED && asked) {
-            subscribed = true;
-            refusedAsks = 0;
-        }
-        if (news.kind() != ListKind.CHANGES) {
-            Map<String, Server> before = new HashMap<>(servers);
-            news.entries().forEach(e -> before.remove(e.server()));
-            before.keySet().forEach(servers::remove);
-        }
-        news.entries().forEach(this::applyEntry);
-        ready.clear();
-        cold.clear();
-        for (Server server : servers.values()) {
-            if (server.state == ServerState.READY) {
-                ready.add(server);
-                if (isCold(server)) {
-                    cold.add(server);
-                }
-            }
-        }
-        ready.sort(Comparator.<Server>comparingInt(s -> s.place).thenComparing(s -> s.id));
-        around.clear();
-        around.addAll(ready);
-        limit.servers(ready.size(), ready.stream().mapToDouble(s -> s.size).sum(), settings.siblings());
-        chance = chance.length < ready.size() ? new double[ready.size() * 2] : chance;
-    }
-
-    private void applyEntry(ServerEntry entry) {
-        if (entry.state() == ServerState.GONE) {
-            servers.remove(entry.server());
-            return;
-        }
-        Server server = servers.get(entry.server());
-        if (server == null || server.startedAt != entry.startedAt()) {
-            server = new Server(entry, zones.computeIfAbsent(entry.zone(), z -> new Failures()));
-            // Spread over the nodes, or all of them would send their first call in the same moment.
-            server.credit = random.nextDouble();
-            servers.put(entry.server(), server);
+        if (news.kind() != ListKind.REMEMBERED && state.asked) {
+            state.subscribed = true;
+            state.refusedAsks = 0;
         }
-        server.state = entry.state();
-        server.size = entry.weight() > 0 ? entry.weight() : 1;
+        state.list.apply(news, state.random, now);
+        state.limit.servers(state.list.ready.size(), state.list.strength(), settings.siblings());
     }
 
     private void planFirstSubscription() {
         if (settings.mustAskMembership()) {
             double spread = Math.min(0.4 * settings.rules().askEvery(), 50e6 * settings.siblings());
-            plan(now + (long) (random.nextDouble() * spread), null);
+            state.timers.plan(now + (long) (state.random.nextDouble() * spread), null);
         }
     }
 
     private void subscribe() {
-        if (!asked && !subscribed) {
-            asked = true;
+        if (!state.asked && !state.subscribed) {
+            state.asked = true;
             actions.add(new Subscribe());
         }
     }
 
-    // ---- observation ----
+    // ---- arrival ----
 
-    private void served(Request r, Attempt attempt, long latency) {
-        Server server = attempt.server;
-        server.add(latency / r.use.usual(r.cost), now);
-        server.failures.clear();
-        server.errorShare -= ERROR_STEP * server.errorShare;
-        server.zoneFailures.clear();
-        r.use.learn(r.cost, latency);
-        if (r.route != null) {
-            r.route.answered(latency);
-        }
-        if (!server.isColdListed) {
-            earnCredit(1.0 / Math.max(1, ready.size() - cold.size()));
+    private void onArrival(Arrival arrival) {
+        if (state.requests.containsKey(arrival.request())) {
+            return;
         }
-    }
-
-    private void failed(Server server, Outcome outcome) {
-        if (outcome == Outcome.ERROR) {
-            double errors = server.errorsNow(now);
-            server.errorShare = errors + ERROR_STEP * (1 - errors);
+        ClassUse use = state.classes.getOrDefault(arrival.requestClass(), state.unknownClass);
+        RouteUse route = routeOf(arrival);
+        Request r = Request.arrived(arrival, use, route, worth(arrival, use), state.timers.nextNumber(), now);
+        state.requests.put(r.id, r);
+        Quota spent = r.route == null ? null : r.route.exceeded(arrival.tenant(), now);
+        if (spent != null) {
+            tell(r, Why.TENANT_QUOTA);
+            refuse(r, spent.untilNext());
+            return;
         }
-        server.failures.add(now);
-        if (outcome == Outcome.CONNECT_FAILED || outcome == Outcome.TIMED_OUT) {
-            // A zone cut off fails server by server; no answer from any of it soon speaks for all of it.
-            server.zoneFailures.add(now);
+        if (r.route != null) {
+            r.route.letIn(now);
         }
+        state.usualRank = state.usualRank == 0 ? r.rank
+            : state.usualRank + ClassUse.USUAL_STEP * (r.rank - state.usualRank);
+        state.retriesSaved = Math.min(BalancerState.MOST_RETRIES_SAVED, state.retriesSaved + RETRY_SHARE);
+        state.list.arrived(now);
+        admit(r);
     }
 
-    /**
-     * A server's mean for the draw: that of its window, sliding to t_b as it ages. A silent or stalled server
-     * keeps its old mean, so the time since it was last heard of, with a call out, is a lower bound.
-     */
-    private double meanNow(Server server, double best) {
-        double mean = best;
-        if (server.count > 0) {
-            mean = best + (server.mean() - best) * Math.exp((server.sampledAt - now) / FADE);
-        }
-        Attempt oldest = server.out.peekFirst();
-        if (oldest != null) {
-            double silence = (now - Math.max(oldest.sentAt, server.heardAt))
-                / oldest.request.use.usual(oldest.request.cost);
-            mean = Math.max(mean, silence) * (1 + server.out.size());
-        }
-        return server.zone.equals(settings.zone()) ? mean : mean * (1 + CROSSING * settings.crossZonePrice());
-    }
-
-    // ---- the draw ----
-
-    private Server draw(Request r) {
-        int first = ready.isEmpty() ? 0 : (int) ((long) settings.self() * ready.size() / settings.siblings());
-        int wanted = Math.max(SPAN, SHARERS * ready.size() / settings.siblings());
-        double best = Double.MAX_VALUE;
-        int span = 0;
-        for (int sound = 0; span < ready.size() && sound < wanted; span++) {
-            Server server = ready.get((first + span) % ready.size());
-            around.set(span, server);
-            sound += server.chanceLeft(now) >= 0.5 && !server.isColdListed ? 1 : 0;
-            best = server.count > 0 ? Math.min(best, server.mean()) : best;
-        }
-        best = best == Double.MAX_VALUE ? 1 : best;
-        double sum = weigh(r, best, span, true);
-        if (sum <= 0) {
-            span = ready.size();
-            for (int i = 0; i < span; i++) {
-                around.set(i, ready.get((first + i) % span));
-            }
-            sum = weigh(r, best, span, false);
-        }
-        if (sum <= 0) {
-            return null;
-        }
-        Server one = pick(sum, span);
-        Server other = pick(sum, span);
-        return other.drawMean < one.drawMean ? other : one;
-    }
-
-    /** Sets each ready server's weight for this request and returns their sum. */
-    private double weigh(Request r, double best, int span, boolean avoidTried) {
-        double sum = 0;
-        for (int i = 0; i < span; i++) {
-            Server server = around.get(i);
-            chance[i] = 0;
-            if (mayTake(r, server) && !(avoidTried && r.tried(server))) {
-                server.drawMean = meanNow(server, best);
-                chance[i] = best / server.drawMean * rampNow(server) * server.chanceLeft(now);
-                sum += chance[i];
-            }
+    private double worth(Arrival arrival, ClassUse use) {
+        double work = settings.worthByWork() && arrival.cost() > 0 ? arrival.cost() : 1;
+        double worth = use.about.worth() * work;
+        Quota quota = state.quotas.get(String.valueOf(arrival.tenant()));
+        if (quota != null && !quota.take(now)) {
+            worth *= settings.overShareWorth();
         }
-        return sum;
+        return worth;
     }
 
-    private Server pick(double sum, int span) {
-        double at = random.nextDouble() * sum;
-        Server last = null;
-        for (int i = 0; i < span; i++) {
-            if (chance[i] > 0) {
-                last = around.get(i);
-                at -= chance[i];
-                if (at < 0) {
-                    return last;
-                }
-            }
+    private void onNewRoutes(Routes next) {
+        Map<String, RouteUse> before = state.routeUses;
+        state.routes = next;
+        state.routeUses = new LinkedHashMap<>();
+        Map<String, RouteUse> groups = new LinkedHashMap<>();
+        for (Routes.Route route : next == null ? List.<Routes.Route>of() : next.all()) {
+            RouteUse shared = groups.get(route.group());
+            RouteUse use = new RouteUse(route.rules(), settings.siblings(),
+                shared == null ? before.get(route.name()) : shared);
+            groups.putIfAbsent(route.group(), use);
+            state.routeUses.put(route.name(), use);
         }
-        return last;
     }
 
-    private boolean mayTake(Request r, Server server) {
-        if (server.isColdListed && server.credit < 1 && isCold(server)) {
-            return false;
+    private RouteUse routeOf(Arrival arrival) {
+        if (state.routes == null || arrival.target() == null) {
+            return null;
         }
-        Attempt anchor = r.anchor;
-        return anchor == null || r.use.about.effect() != Effect.KEYED || switch (r.use.about.group()) {
-            case ALL -> true;
-            case ZONE -> server.zone.equals(anchor.server.zone);
-            case CELL -> server.cell == anchor.server.cell && server.zone.equals(anchor.server.zone);
-        };
+        Routes.Route route = state.routes.match(arrival.requestClass(), arrival.method(), arrival.target());
+        return route == null ? null : state.routeUses.get(route.name());
     }
 
-    // ---- cold-start limit ----
-
-    private boolean isCold(Server server) {
-        boolean coldNow = server.startedAt > 0 && now - server.startedAt < settings.rules().coldSpan();
-        server.isColdListed = coldNow;
-        return coldNow;
-    }
-
-    private double rampNow(Server server) {
-        if (!server.isColdListed) {
-            return 1;
-        }
-        double age = Math.max(0, (double) (now - server.startedAt) / settings.rules().coldSpan());
-        double start = settings.rules().startCapacity();
-        return Math.min(1, start + (1 - start) * age);
-    }
+    // ---- admission ----
 
     /**
-     * Every call that warm servers served earns each cold one its part of a call: what a warm one of its size
-     * carries, scaled to its present capacity. Summed over all nodes that stays under the rule's multiple.
+     * The first tier lets in only as many requests at once as are answered within their aim; the rest wait,
+     * those worth most for their work first. Deeper tiers let all in: refusing there wastes the work above.
      */
-    private void earnCredit(double calls) {
-        if (cold.isEmpty()) {
+    private void admit(Request r) {
+        if (settings.tier() > 0 || hasRoom(r) && (state.waiting.isEmpty() || r.compareTo(state.waiting.peek()) < 0)) {
+            letIn(r);
             return;
         }
-        cold.removeIf(server -> !isCold(server));
-        double meanSize = 0;
-        for (Server server : ready) {
-            meanSize += server.size / ready.size();
-        }
-        for (Server server : cold) {
-            double earned = COLD_SHARE * calls * rampNow(server) * server.size / meanSize;
-            server.credit = Math.min(2, server.credit + earned);
-        }
+        r.waits = true;
+        state.waiting.add(r);
+        tell(r, Why.WAITS_FOR_ROOM);
+        long usual = (long) r.usual();
+        long aim = r.use.about.aim() > 0 ? r.use.about.aim() : Long.MAX_VALUE / 2;
+        // A refusal leaves the client time for another node, so it comes soon rather than at the last moment.
+        long last = Math.min(Math.min(lastMoment(r), now + aim) - 2 * usual, now + usual / 2);
+        wakeAt(r, Math.max(now + settings.tick(), last));
     }
 
-    // ---- dispatch and further attempts ----
+    private void letIn(Request r) {
+        r.admitted = true;
+        state.limit.enter();
+        tell(r, Why.ADMITTED);
+        dispatch(r);
+    }
 
-    private void onArrival(Arrival arrival) {
-        if (requests.containsKey(arrival.request())) {
-            return;
-        }
-        ClassUse use = classes.getOrDefault(arrival.requestClass(), unknownClass);
-        Request r = new Request(arrival, use, routeOf(arrival), worth(arrival, use), dueCount++, now);
-        requests.put(r.id, r);
-        Quota spent = r.route == null ? null : r.route.exceeded(arrival.tenant(), now);
-        if (spent != null) {
-            refuse(r, spent.untilNext());
-            return;
-        }
-        if (r.route != null) {
-            r.route.letIn(now);
-        }
-        usualRank = usualRank == 0 ? r.rank : usualRank + USUAL_STEP * (r.rank - usualRank);
-        retriesSaved = Math.min(MOST_RETRIES_SAVED, retriesSaved + RETRY_SHARE);
-        if (cold.size() == ready.size()) {
-            earnCredit(0.7 / Math.max(1, ready.size()));
-        }
-        admit(r);
+    private boolean hasRoom(Request r) {
+        return state.limit.hasRoom(r.rank >= state.usualRank);
     }
 
-    private void onNewRoutes(Routes next) {
-        Map<String, RouteUse> before = routeUses;
-        routes = next;
-        routeUses = new HashMap<>();
-        Map<String, RouteUse> groups = new HashMap<>();
-        for (Routes.Route route : next == null ? List.<Routes.Route>of() : next.all()) {
-            RouteUse shared = groups.get(route.group());
-            RouteUse use = new RouteUse(route.rules(), settings.siblings(),
-                shared == null ? before.get(route.name()) : shared);
-            groups.putIfAbsent(route.group(), use);
-            routeUses.put(route.name(), use);
+    private void admitWaiting() {
+        while (!state.waiting.isEmpty() && hasRoom(state.waiting.peek())) {
+            Request r = state.waiting.poll();
+            r.waits = false;
+            letIn(r);
         }
     }
 
-    private RouteUse routeOf(Arrival arrival) {
-        if (routes == null || arrival.target() == null) {
-            return null;
+    private void learnLimit(Request r) {
+        if (r.admitted && r.use.about.aim() > 0) {
+            state.limit.answered(now - r.arrivedAt, r.use.about.aim());
         }
-        Routes.Route route = routes.match(arrival.requestClass(), arrival.method(), arrival.target());
-        return route == null ? null : routeUses.get(route.name());
     }
 
+    // ---- dispatch and further attempts ----
+
     /** Sends the request somewhere, or holds it while waiting may help, or ends it. */
     private void dispatch(Request r) {
         if (now >= lastMoment(r)) {
+            tell(r, Why.PAST_DEADLINE);
             finish(r);
             return;
         }
-        Server server = draw(r);
+        Upstream server = draw.draw(r, now, watch);
         if (server == null) {
-            r.wakeAt = Math.min(lastMoment(r), now + HOLD_STEP);
-            plan(r.wakeAt, r);
+            tell(r, Why.NO_SERVER_NOW);
+            wakeAt(r, Math.min(lastMoment(r), now + HOLD_STEP));
             return;
         }
-        Attempt attempt = new Attempt(r, server, r.attempts.size(), now);
-        r.attempts.add(attempt);
-        r.out++;
-        if (r.anchor == null) {
-            r.anchor = attempt;
-        }
-        server.out.addLast(attempt);
+        server.out.addLast(r.send(server, now));
         if (server.isColdListed) {
             server.credit -= 1;
         }
-        long patience = r.use.patience(r.cost);
+        long patience = r.patience();
         boolean copies = settings.limits().secondCopies();
         long hedge = copies && r.route != null && r.use.about.effect() == Effect.SAFE
             ? r.route.hedgeAfter(patience) : patience;
@@ -418,8 +259,7 @@
         long timeout = repeatable && !copies ? patience : 0;
         actions.add(new Send(r.id, server.id, r.route == null ? timeout : r.route.timeout(timeout, r.deadline - now)));
         if (repeatable && copies) {
-            r.wakeAt = now + hedge;
-            plan(r.wakeAt, r);
+            wakeAt(r, now + hedge);
         }
     }
 
@@ -429,23 +269,14 @@
     }
 
     private void onEnded(AttemptEnded ended) {
-        Request r = requests.get(ended.request());
-        if (r == null || ended.attempt() < 0 || ended.attempt() >= r.attempts.size()) {
+        Request r = state.requests.get(ended.request());
+        Attempt attempt = r == null ? null : r.outNow(ended.attempt());
+        if (attempt == null) {
             return;
         }
-        Attempt attempt = r.attempts.get(ended.attempt());
-        if (attempt.ended) {
-            return;
-        }
-        attempt.ended = true;
-        r.out--;
         attempt.server.out.remove(attempt);
+        r.ended(attempt, ended.outcome().neverRan);
         observe(r, attempt, ended);
-        if (ended.outcome().neverRan && r.anchor == attempt) {
-            r.anchor = r.firstThatMayHaveRun(attempt);
-        } else if (ended.outcome().neverRan) {
-            attempt.neverRan = true;
-        }
         if (ended.finished() || r.done) {
             close(r);
         } else if (r.out == 0 || now >= lastMoment(r)) {
@@ -454,77 +285,110 @@
     }
 
     private void observe(Request r, Attempt attempt, AttemptEnded ended) {
+        Upstream server = attempt.server;
         switch (ended.outcome()) {
             case OK -> {
-                attempt.server.heardAt = now;
+                server.heardAt = now;
                 if (!attempt.streaming) {
-                    learnLimit(r);
-                    served(r, attempt, ended.latency());
+                    served(r, server, ended.latency());
                 }
             }
-            case ERROR, FULL -> {
-                attempt.server.heardAt = now;
-                failed(attempt.server, ended.outcome());
-                if (ended.outcome() == Outcome.FULL && r.admitted) {
-                    limit.turnedAway();
+            case ERROR -> {
+                server.heardAt = now;
+                server.failed(true, false, now);
+            }
+            case FULL -> {
+                server.heardAt = now;
+                server.failed(false, false, now);
+                if (r.admitted) {
+                    state.limit.turnedAway();
                     if (attempt.number == 1) {
-                        limit.turnedAwayAgain();
+                        state.limit.turnedAwayAgain();
                     }
                 }
             }
             case TIMED_OUT -> {
-                if (attempt.server.heardAt > attempt.sentAt) {
+                if (server.heardAt > attempt.sentAt) {
                     // Its server answers others: it is late, not lost with a server that says nothing.
                     learnLimit(r);
                 }
-                failed(attempt.server, ended.outcome());
+                server.failed(false, true, now);
             }
-            case CONNECT_FAILED, RESET -> failed(attempt.server, ended.outcome());
+            case CONNECT_FAILED -> server.failed(false, true, now);
+            case RESET -> server.failed(false, false, now);
             case CANCELLED -> {
                 // A copy was sent because this one overstayed: a time-out in all but name.
                 if (attempt.overstayed) {
-                    failed(attempt.server, ended.outcome());
+                    server.failed(false, false, now);
                 }
             }
             case NOT_SENT -> { }
         }
     }
 
+    private void served(Request r, Upstream server, long latency) {
+        learnLimit(r);
+        server.served(latency / r.usual(), now);
+        r.use.learn(r.cost, latency);
+        if (r.route != null) {
+            r.route.answered(latency);
+        }
+        state.list.servedBy(server, now);
+    }
+
+    private void onFirstByte(FirstByte first) {
+        Request r = state.requests.get(first.request());
+        Attempt attempt = r == null ? null : r.outNow(first.attempt());
+        if (attempt != null && !attempt.streaming) {
+            attempt.streaming = true;
+            attempt.server.out.remove(attempt);
+            attempt.server.heardAt = now;
+            served(r, attempt.server, first.latency());
+            close(r);
+        }
+    }
+
     private void again(Request r, Outcome outcome) {
-        boolean allowed = r.route == null || r.route.retries(outcome);
-        if (r.out == 0 && allowed && mayAttempt(r) && spendRetry(r, outcome.neverRan)) {
-            long own = r.route == null ? -1 : r.route.wait(r.attempts.size(), random);
-            if (own >= 0 && now + own >= lastMoment(r)) {
-                finish(r);
-            } else if (own > 0) {
-                r.wakeAt = now + own;
-                plan(r.wakeAt, r);
-            } else if (own == 0 || r.attempts.size() < 2) {
-                dispatch(r);
-            } else {
-                double wait = r.use.usual(r.cost) / 4 * (1 << Math.min(r.attempts.size() - 2, 4));
-                r.wakeAt = Math.min(lastMoment(r), now + (long) (wait * (0.5 + random.nextDouble())));
-                plan(r.wakeAt, r);
-            }
-        } else {
+        Why hindrance = r.route == null || r.route.retries(outcome) ? hindrance(r) : Why.ROUTE_DOES_NOT_RETRY;
+        if (r.out > 0 || hindrance != null || !spendRetry(r, outcome.neverRan)) {
+            tell(r, hindrance == null ? Why.NO_BUDGET : hindrance);
+            finish(r);
+            return;
+        }
+        long own = r.route == null ? -1 : r.route.wait(r.attempts.size(), state.random);
+        if (own >= 0 && now + own >= lastMoment(r)) {
+            tell(r, Why.BACKOFF_TOO_LONG);
             finish(r);
+        } else if (own > 0) {
+            tell(r, Why.BACKS_OFF);
+            wakeAt(r, now + own);
+        } else if (own == 0 || r.attempts.size() < 2) {
+            tell(r, Why.TRIED_AGAIN);
+            dispatch(r);
+        } else {
+            tell(r, Why.BACKS_OFF);
+            double wait = r.usual() / 4 * (1 << Math.min(r.attempts.size() - 2, 4));
+            wakeAt(r, Math.min(lastMoment(r), now + (long) (wait * (0.5 + state.random.nextDouble()))));
         }
     }
 
-    private boolean mayAttempt(Request r) {
-        if (r.done || r.attempts.size() >= maxAttempts(r) || now >= lastMoment(r)
-                || r.out > 0 && !settings.limits().secondCopies()) {
-            return false;
+    /** Why no further attempt may go out now; null where one may. */
+    private Why hindrance(Request r) {
+        if (r.done || now >= lastMoment(r)) {
+            return Why.PAST_DEADLINE;
+        }
+        if (r.attempts.size() >= maxAttempts(r) || r.out > 0 && !settings.limits().secondCopies()) {
+            return Why.ATTEMPTS_USED_UP;
         }
         return switch (r.use.about.effect()) {
-            case SAFE -> true;
-            case UNSAFE -> r.anchor == null;
-            case KEYED -> r.anchor == null
-                || now + settings.tick() < r.anchor.sentAt + r.use.about.memory();
+            case SAFE -> null;
+            case UNSAFE -> r.anchor == null ? null : Why.MAY_HAVE_RUN;
+            case KEYED -> r.anchor == null || now + settings.tick() < r.anchor.sentAt + r.use.about.memory()
+                ? null : Why.MEMORY_RUN_OUT;
         };
     }
 
-    private boolean mayRefuse(Request r) {
+    private static boolean mayRefuse(Request r) {
         RequestClass about = r.use.about;
         return r.anchor == null || about.effect() == Effect.SAFE
             || about.effect() == Effect.KEYED && about.group() == KeyGroup.ALL;
@@ -538,94 +402,29 @@
         if (neverRan) {
             return true;
         }
-        if (retriesSaved < 1) {
+        if (state.retriesSaved < 1) {
             return false;
         }
-        retriesSaved--;
+        state.retriesSaved--;
         return true;
     }
 
-    private void onFirstByte(FirstByte first) {
-        Request r = requests.get(first.request());
-        if (r == null || first.attempt() < 0 || first.attempt() >= r.attempts.size()) {
-            return;
-        }
-        Attempt attempt = r.attempts.get(first.attempt());
-        if (!attempt.ended && !attempt.streaming) {
-            attempt.streaming = true;
-            attempt.server.out.remove(attempt);
-            attempt.server.heardAt = now;
-            learnLimit(r);
-            served(r, attempt, first.latency());
-            close(r);
-        }
-    }
-
-    // ---- admission ----
-
-    /**
-     * The first tier lets in only as many requests at once as are answered within their aim; the rest wait,
-     * those worth most for their work first. Deeper tiers let all in: refusing there wastes the work above.
-     */
-    private void admit(Request r) {
-        if (settings.tier() > 0 || hasRoom(r) && (waiting.isEmpty() || r.compareTo(waiting.peek()) < 0)) {
-            r.admitted = true;
-            limit.enter();
-            dispatch(r);
-            return;
-        }
-        r.waits = true;
-        waiting.add(r);
-        long usual = (long) r.use.usual(r.cost);
-        long aim = r.use.about.aim() > 0 ? r.use.about.aim() : Long.MAX_VALUE / 2;
-        // A refusal leaves the client time for another node, so it comes soon rather than at the last moment.
-        long last = Math.min(Math.min(lastMoment(r), now + aim) - 2 * usual, now + usual / 2);
-        r.wakeAt = Math.max(now + settings.tick(), last);
-        plan(r.wakeAt, r);
-    }
-
-    private void learnLimit(Request r) {
-        if (r.admitted && r.use.about.aim() > 0) {
-            limit.answered(now - r.arrivedAt, r.use.about.aim());
-        }
-    }
-
-    private boolean hasRoom(Request r) {
-        return limit.hasRoom(r.rank >= usualRank);
-    }
-
-    private void admitWaiting() {
-        while (!waiting.isEmpty() && hasRoom(waiting.peek())) {
-            Request r = waiting.poll();
-            r.waits = false;
-            r.admitted = true;
-            limit.enter();
-            dispatch(r);
-        }
-    }
-
-    private double worth(Arrival arrival, ClassUse use) {
-        double work = settings.worthByWork() && arrival.cost() > 0 ? arrival.cost() : 1;
-        double worth = use.about.worth() * work;
-        Quota quota = quotas.get(String.valueOf(arrival.tenant()));
-        if (quota != null && !quota.take(now)) {
-            worth *= settings.overShareWorth();
-        }
-        usualWorth = usualWorth == 0 ? worth : usualWorth + USUAL_STEP * (worth - usualWorth);
-        return worth;
-    }
-
     // ---- deadlines ----
 
     private long lastMoment(Request r) {
         return r.deadline - settings.tick();
     }
 
+    private void wakeAt(Request r, long at) {
+        r.wakeAt = at;
+        state.timers.plan(at, r);
+    }
+
     /** The one final answer that the node itself gives. */
     private void finish(Request r) {
         if (!r.done) {
             if (mayRefuse(r)) {
-                refuse(r, r.waits ? (long) r.use.usual(r.cost) / 2 : 0);
+                refuse(r, r.waits ? (long) r.usual() / 2 : 0);
             } else {
                 actions.add(new Fail(r.id, r.shortened && now >= lastMoment(r)));
                 close(r);
@@ -645,9 +444,9 @@
         if (!r.done) {
             r.done = true;
             if (r.admitted) {
-                limit.leave();
+                state.limit.leave();
             } else if (r.waits) {
-                waiting.remove(r);
+                state.waiting.remove(r);
             }
             for (Attempt attempt : r.attempts) {
                 if (!attempt.ended && !attempt.streaming && settings.limits().cancel()) {
@@ -656,255 +455,45 @@
             }
         }
         if (r.out == 0) {
-            requests.remove(r.id);
+            state.requests.remove(r.id);
         }
     }
 
     private void onTimer() {
-        if (now >= armedFor) {
-            armedFor = Long.MAX_VALUE;
-        }
-        while (!due.isEmpty() && due.peek().at <= now) {
-            Due next = due.poll();
-            if (next.request == null) {
+        state.timers.came(now);
+        for (Timers.Due next = state.timers.poll(now); next != null; next = state.timers.poll(now)) {
+            if (next.spent()) {
+                continue;
+            }
+            if (next.request() == null) {
                 subscribe();
-            } else if (!next.request.done && next.request.wakeAt == next.at) {
-                wake(next.request);
+            } else if (!next.request().done && next.request().wakeAt == next.at()) {
+                wake(next.request());
             }
         }
     }
 
     private void wake(Request r) {
         if (r.waits) {
+            tell(r, Why.NO_ROOM_IN_TIME);
             finish(r);
-        } else if (r.out == 0 && (r.attempts.isEmpty() || mayAttempt(r))) {
+            return;
+        }
+        Why hindrance = r.attempts.isEmpty() ? null : hindrance(r);
+        if (r.out == 0 && hindrance == null) {
             dispatch(r);
         } else if (r.out == 0) {
             // While it waited, the servers' memory of its key may have run out.
+            tell(r, hindrance);
             finish(r);
         } else {
             Attempt last = r.attempts.get(r.attempts.size() - 1);
             // A route may want its copy long before its server has overstayed.
-            last.overstayed = r.route == null || now - last.sentAt >= r.use.patience(r.cost);
-            if (mayAttempt(r) && spendRetry(r, false)) {
+            last.overstayed = r.route == null || now - last.sentAt >= r.patience();
+            if (hindrance == null && spendRetry(r, false)) {
+                tell(r, Why.SECOND_COPY);
                 dispatch(r);
             }
         }
     }
-
-    private void plan(long at, Request r) {
-        due.add(new Due(at, dueCount++, r));
-    }
-
-    private void armTimer() {
-        if (!due.isEmpty() && due.peek().at < armedFor) {
-            armedFor = due.peek().at;
-            actions.add(new SetTimer(Math.max(0, armedFor - now), "due"));
-        }
-    }
-
-    private record Due(long at, long number, Request request) implements Comparable<Due> {
-        @Override
-        public int compareTo(Due other) {
-            return at != other.at ? Long.compare(at, other.at) : Long.compare(number, other.number);
-        }
-    }
-
-    private static final class Server {
-        final String id;
-        final int place;
-        final String zone;
-        final long cell;
-        final long startedAt;
-        final ArrayDeque<Attempt> out = new ArrayDeque<>();
-        final double[] window = new double[WINDOW];
-        ServerState state;
-        double size;
-        double credit;
-        final Failures failures = new Failures();
-        final Failures zoneFailures;
-        double errorShare;
-        double drawMean;
-        double sum;
-        int count;
-        int next;
-        boolean isColdListed;
-        long sampledAt;
-        long heardAt;
-
-        Server(ServerEntry entry, Failures zoneFailures) {
-            this.zoneFailures = zoneFailures;
-            id = entry.server();
-            place = id.hashCode() * 0x9E3779B1 >>> 1;
-            zone = String.valueOf(entry.zone());
-            cell = entry.cell();
-            startedAt = entry.startedAt();
-        }
-
-        void add(double roundTrip, long now) {
-            sum += roundTrip - (count == WINDOW ? window[next] : 0);
-            window[next] = roundTrip;
-            next = (next + 1) % WINDOW;
-            count = Math.min(WINDOW, count + 1);
-            sampledAt = now;
-        }
-
-        double errorsNow(long now) {
-            return errorShare == 0 ? 0 : errorShare * Math.exp((failures.at - now) / FADE);
-        }
-
-        double chanceLeft(long now) {
-            double served = Math.pow(1 - errorsNow(now), 3);
-            return failures.factor(now) * zoneFailures.factor(now) * Math.max(LEAST_CHANCE, served);
-        }
-
-        double mean() {
-            return Math.max(1e-6, sum / count);
-        }
-    }
-
-    /** Failures since the last served call, fading with time. */
-    private static final class Failures {
-        double count;
-        long at;
-
-        void add(long now) {
-            count = countNow(now) + 1;
-            at = now;
-        }
-
-        void clear() {
-            count = 0;
-        }
-
-        double countNow(long now) {
-            return count == 0 ? 0 : count * Math.exp((at - now) / FAILURE_FADE);
-        }
-
-        /** What they leave of a chance: less with each, never nothing. */
-        double factor(long now) {
-            double failures = countNow(now);
-            return Math.max(LEAST_CHANCE, 1 / (1 + failures * failures));
-        }
-    }
-
-    private static final class Attempt {
-        final Request request;
-        final Server server;
-        final int number;
-        final long sentAt;
-        boolean ended;
-        boolean neverRan;
-        boolean overstayed;
-        boolean streaming;
-
-        Attempt(Request request, Server server, int number, long sentAt) {
-            this.request = request;
-            this.server = server;
-            this.number = number;
-            this.sentAt = sentAt;
-        }
-    }
-
-    private static final class Request implements Comparable<Request> {
-        final String id;
-        final double worth;
-        final double rank;
-        final long number;
-        final ClassUse use;
-        final RouteUse route;
-        /** Whether its route has shortened its deadline. */
-        final boolean shortened;
-        final long arrivedAt;
-        final long deadline;
-        final double cost;
-        final List<Attempt> attempts = new ArrayList<>(2);
-        /** The first attempt that ran or might have; null while it is certain that none did. */
-        Attempt anchor;
-        int out;
-        boolean done;
-        boolean waits;
-        boolean admitted;
-        long wakeAt;
-
-        Request(Arrival arrival, ClassUse use, RouteUse route, double worth, long number, long arrivedAt) {
-            this.arrivedAt = arrivedAt;
-            this.worth = worth;
-            this.rank = worth / use.usual(arrival.cost());
-            this.number = number;
-            this.id = arrival.request();
-            this.use = use;
-            this.route = route;
-            this.deadline = route == null ? arrival.deadline() : route.deadline(arrivedAt, arrival.deadline());
-            this.shortened = deadline < arrival.deadline();
-            this.cost = arrival.cost();
-        }
-
-        @Override
-        public int compareTo(Request other) {
-            return rank != other.rank ? Double.compare(other.rank, rank) : Long.compare(number, other.number);
-        }
-
-        boolean tried(Server server) {
-            for (Attempt attempt : attempts) {
-                if (attempt.server == server) {
-                    return true;
-                }
-            }
-            return false;
-        }
-
-        Attempt firstThatMayHaveRun(Attempt cleared) {
-            cleared.neverRan = true;
-            for (Attempt attempt : attempts) {
-                if (!attempt.neverRan) {
-                    return attempt;
-                }
-            }
-            return null;
-        }
-    }
-
-    /**
-     * A class's usual round trip, by the cost hint where there is one. Round trips are divided by it, so that
-     * a server is not judged by what it happened to get (the paper's remedy for mixed requests, section 6).
-     */
-    private static final class ClassUse {
-        final RequestClass about;
-        double trip;
-        double deviation;
-        double cost;
-        double costVariance;
-        double covariance;
-        int seen;
-
-        ClassUse(RequestClass about) {
-            this.about = about;
-        }
-
-        void learn(double hint, double latency) {
-            double step = Math.max(USUAL_STEP, 1.0 / ++seen);
-            deviation += step * (Math.abs(latency - usual(hint)) - deviation);
-            double offCost = hint - cost;
-            double offTrip = latency - trip;
-            cost += step * offCost;
-            trip += step * offTrip;
-            costVariance += step * (offCost * offCost - costVariance);
-            covariance += step * (offCost * offTrip - covariance);
-        }
-
-        double usual(double hint) {
-            if (seen == 0) {
-                return about.aim() > 0 ? about.aim() / 4.0 : 1e8;
-            }
-            double slope = costVariance > 1e-12 ? covariance / costVariance : 0;
-            // Answers that came in the instant of their sending must not make it nothing: means are divided by it.
-            return Math.max(1, Math.max(trip / 5, trip + Math.max(0, slope) * (hint - cost)));
-        }
-
-        /** How long an attempt may take before a further one is worth its work. */
-        long patience(double hint) {
-            return (long) (usual(hint) + 4 * deviation);
-        }
-    }
 }
--- a/decision/src/main/java/weldhitch/decision/RetryBudget.java
+++ b/decision/src/main/java/weldhitch/decision/RetryBudget.java
@@ -8,13 +8,13 @@
  * it, so that over any time further attempts stay under the share of the requests, and the floor.
  */
 final class RetryBudget {
-    private static final int SLICES = 10;
+    static final int SLICES = 10;
     private static final long SLICE = 1_000_000_000L;
 
-    private final Budget budget;
-    private final int[] requests = new int[SLICES];
-    private final int[] retries = new int[SLICES];
-    private long slice = Long.MIN_VALUE;
+    final Budget budget;
+    final int[] requests = new int[SLICES];
+    final int[] retries = new int[SLICES];
+    long slice = Long.MIN_VALUE;
 
     RetryBudget(Budget budget) {
         this.budget = budget;
--- a/decision/src/main/java/weldhitch/decision/RouteUse.java
+++ b/decision/src/main/java/weldhitch/decision/RouteUse.java
@@ -1,24 +1,27 @@
 package weldhitch.decision;
 
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.SplittableRandom;
+import java.util.TreeMap;
 import weldhitch.decision.Balancing.Outcome;
 import weldhitch.decision.RouteRules.*;
 
 /** One route at work: its rules, and what they need to remember. */
 final class RouteUse {
     final RouteRules rules;
-    private final RetryBudget budget;
-    private final Map<String, Quota> tenants = new HashMap<>();
-    private final Latencies latencies;
+    /** Null where the route has none. */
+    final RetryBudget budget;
+    final Map<String, Quota> tenants;
+    /** Null where no rule asks for them. */
+    final Latencies latencies;
 
     /** Shares with {@code before}, a route of the same name or group or null, what has the same rule in both. */
     RouteUse(RouteRules rules, int siblings, RouteUse before) {
         this.rules = rules;
         boolean same = before != null && before.budget != null && before.budget.budget().equals(rules.budget());
         budget = rules.budget() == null ? null : same ? before.budget : new RetryBudget(rules.budget());
-        rules.tenants().forEach((tenant, perSecond) -> tenants.put(tenant,
+        tenants = new LinkedHashMap<>();
+        new TreeMap<>(rules.tenants()).forEach((tenant, perSecond) -> tenants.put(tenant,
             before != null && perSecond.equals(before.rules.tenants().get(tenant)) ? before.tenants.get(tenant)
                 : new Quota(perSecond / siblings)));
         if (rules.hedge() instanceof HedgePercentile hedge) {
@@ -29,6 +32,14 @@
         }
     }
 
+    /** As it was when it was saved. */
+    RouteUse(RouteRules rules, RetryBudget budget, Map<String, Quota> tenants, Latencies latencies) {
+        this.rules = rules;
+        this.budget = budget;
+        this.tenants = tenants;
+        this.latencies = latencies;
+    }
+
     /** A request that its tenant's limit leaves in; what is refused pays for no further attempts. */
     void letIn(long now) {
         if (budget != null) {
@@ -73,7 +84,7 @@
     }
 
     /** The wait before further attempt {@code n}, counted from 1; below 0 where the route has none of its own. */
-    long wait(int n, SplittableRandom random) {
+    long wait(int n, SeededRandom random) {
         return rules.backoff() == null ? -1 : (long) (random.nextDouble() * rules.backoff().ceiling(n));
     }
 
--- a/decision/src/main/java/weldhitch/decision/Routes.java
+++ b/decision/src/main/java/weldhitch/decision/Routes.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 
@@ -94,7 +94,7 @@
 
         private static void sort(List<Route> routes) {
             routes.sort(ORDER);
-            Set<String> seen = new HashSet<>();
+            Set<String> seen = new LinkedHashSet<>();
             for (Route route : routes) {
                 RoutePattern asked = route.pattern();
                 if (!seen.add(route.rank() + " " + asked.method() + " " + asked.requestClass())) {
--- /dev/null
+++ b/decision/src/test/java/weldhitch/decision/SnapshotTest.java
@@ -0,0 +1,138 @@
+package weldhitch.decision;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.lang.reflect.RecordComponent;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.DoubleUnaryOperator;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+import weldhitch.decision.Balancing.*;
+
+class SnapshotTest {
+    /** All parts of a record by name, arrays by their contents. */
+    static String spelled(Object value) throws ReflectiveOperationException {
+        if (value instanceof Record r) {
+            StringBuilder text = new StringBuilder(r.getClass().getSimpleName()).append('{');
+            for (RecordComponent part : r.getClass().getRecordComponents()) {
+                part.getAccessor().setAccessible(true);
+                text.append(part.getName()).append('=').append(spelled(part.getAccessor().invoke(r))).append(' ');
+            }
+            return text.append('}').toString();
+        }
+        if (value instanceof List<?> list) {
+            List<String> parts = new ArrayList<>();
+            for (Object each : list) {
+                parts.add(spelled(each));
+            }
+            return parts.toString();
+        }
+        return value instanceof double[] d ? java.util.Arrays.toString(d) : value instanceof long[] l
+            ? java.util.Arrays.toString(l) : value instanceof int[] i ? java.util.Arrays.toString(i)
+            : value instanceof byte[] b ? java.util.Arrays.toString(b) : value instanceof java.util.Set<?> s
+            ? new java.util.TreeSet<>(s).toString() : value instanceof java.util.Map<?, ?> m
+            ? new java.util.TreeMap<>(m).toString() : String.valueOf(value);
+    }
+
+    /** One module goes on; the other is made anew from its own snapshot after every few events. */
+    private static String differs(long seed) {
+        Workload workload = new Workload(seed);
+        SplittableRandom random = new SplittableRandom(seed);
+        RatioBalancer whole = new RatioBalancer(workload.settings, seed);
+        RatioBalancer[] anew = {new RatioBalancer(workload.settings, seed)};
+        String[] wrong = {null};
+        workload.play((now, event) -> {
+            try {
+                if (random.nextInt(20) == 0) {
+                    Snapshot saved = anew[0].snapshot();
+                    anew[0] = RatioBalancer.restore(workload.settings, saved, null);
+                    if (!spelled(saved).equals(spelled(anew[0].snapshot()))) {
+                        wrong[0] = "seed " + seed + ": a snapshot of what was restored differs";
+                    }
+                }
+            } catch (ReflectiveOperationException e) {
+                throw new AssertionError(e);
+            }
+            List<Action> actions = whole.handle(now, event);
+            List<Action> again = anew[0].handle(now, event);
+            if (!actions.equals(again) && wrong[0] == null) {
+                wrong[0] = "seed " + seed + " at " + now + " " + event + ": " + actions + " became " + again;
+            }
+            return actions;
+        }, 1200, (event, actions) -> { });
+        return wrong[0];
+    }
+
+    @Test
+    void whatIsRestoredDecidesAsWhatWasSaved() {
+        assertEquals(List.of(), LongStream.range(0, 300).parallel().mapToObj(SnapshotTest::differs)
+            .filter(java.util.Objects::nonNull).toList());
+    }
+
+    private static Node busy() {
+        Node node = Node.plain().list("a", "b");
+        node.serve("r1", 20 * Node.MS);
+        node.arrive("r2", "read");
+        node.arrive("r3", "write");
+        return node;
+    }
+
+    private static void refused(String field, java.util.function.UnaryOperator<Snapshot> change) {
+        Node node = busy();
+        IllegalArgumentException e = assertThrows(IllegalArgumentException.class, () -> RatioBalancer.restore(
+            Node.settings(Node.requestClass("read", Effect.SAFE, KeyGroup.ALL),
+                Node.requestClass("write", Effect.UNSAFE, KeyGroup.ALL),
+                Node.requestClass("put", Effect.KEYED, KeyGroup.CELL)), change.apply(node.balancer.snapshot()), null));
+        assertTrue(e.getMessage().contains(field), e.getMessage());
+    }
+
+    private static Snapshot.OfServer credit(Snapshot.OfServer s, DoubleUnaryOperator change) {
+        return new Snapshot.OfServer(s.id(), s.zone(), s.cell(), s.state(), s.size(), s.startedAt(), s.listed(),
+            change.applyAsDouble(s.credit()), s.coldListed(), s.failures(), s.failedAt(), s.errorShare(), s.window(), s.sum(),
+            s.count(), s.next(), s.sampledAt(), s.heardAt(), s.out());
+    }
+
+    private static Snapshot with(Snapshot s, List<Snapshot.OfServer> servers, List<Snapshot.OfRequest> requests,
+            int admitted, List<Snapshot.OfTimer> timers) {
+        Snapshot.OfAdmission a = s.admission();
+        return new Snapshot(s.version(), s.random(), s.zones(), servers, s.cold(), s.classes(), s.routes(), s.routesInForce(),
+            s.budgets(), s.routeQuotas(), s.latencies(), s.routeUses(), requests, timers, s.armedFor(), s.numbers(),
+            new Snapshot.OfAdmission(a.limit(), admitted, a.learning(), a.starting(), a.quickest(), a.slow(), a.learnedOver()),
+            s.quotas(), s.usualRank(), s.retriesSaved(), s.started(), s.asked(), s.subscribed(), s.refusedAsks());
+    }
+
+    @Test
+    void anImpossibleFigureIsRefusedByItsName() {
+        refused("server a: credit: NaN", s -> with(s, s.servers().stream().map(each -> credit(each, c -> Double.NaN)).toList(),
+            s.requests(), s.admission().admitted(), s.timers()));
+        refused("admission.admitted: 7", s -> with(s, s.servers(), s.requests(), 7, s.timers()));
+        refused("timers: 9", s -> with(s, s.servers(), s.requests(), s.admission().admitted(),
+            List.of(new Snapshot.OfTimer(1, 1, 9, false))));
+        refused("out", s -> with(s, s.servers(), List.of(), 0, List.of()));
+        refused("servers: a", s -> with(s, List.of(s.servers().get(0), s.servers().get(0)), List.of(), 0, List.of()));
+        refused("version: 2", s -> new Snapshot(2, s.random(), s.zones(), s.servers(), s.cold(), s.classes(), s.routes(),
+            s.routesInForce(), s.budgets(), s.routeQuotas(), s.latencies(), s.routeUses(), s.requests(), s.timers(),
+            s.armedFor(), s.numbers(), s.admission(), s.quotas(), s.usualRank(), s.retriesSaved(), s.started(), s.asked(),
+            s.subscribed(), s.refusedAsks()));
+        refused("random", s -> new Snapshot(s.version(), new byte[3], s.zones(), s.servers(), s.cold(), s.classes(),
+            s.routes(), s.routesInForce(), s.budgets(), s.routeQuotas(), s.latencies(), s.routeUses(), s.requests(),
+            s.timers(), s.armedFor(), s.numbers(), s.admission(), s.quotas(), s.usualRank(), s.retriesSaved(), s.started(),
+            s.asked(), s.subscribed(), s.refusedAsks()));
+    }
+
+    /** The node's figures by the generator whose state can be saved are those of the JDK's, so no decision moved. */
+    @Test
+    void chanceIsThatOfTheGeneratorBefore() {
+        for (long seed : new long[] {0, 1, -7, Long.MIN_VALUE, 0x8c1f30d27a5be964L}) {
+            SplittableRandom before = new SplittableRandom(seed);
+            SeededRandom now = new SeededRandom(seed);
+            for (int i = 0; i < 1000; i++) {
+                assertEquals(before.nextDouble(), now.nextDouble());
+            }
+        }
+    }
+}
