--- /dev/null
+++ b/capture/src/main/java/weldhitch/capture/format/Documents.java
@@ -0,0 +1,97 @@
+package weldhitch.capture.format;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.type.TypeReference;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.dataformat.cbor.databind.CBORMapper;
+import java.io.IOException;
+import java.util.List;
+import weldhitch.capture.policy.Missed;
+import weldhitch.decision.Balancing.Settings;
+import weldhitch.decision.RouteRules;
+import weldhitch.decision.Routes;
+import weldhitch.decision.Snapshot;
+
+/**
+ * The parts of a capture that are rare, large and change in form over time: self-describing, in CBOR (RFC 8949). Fields
+ * that a reader doesn't know are passed over; one that is missing or impossible is named.
+ */
+public final class Documents {
+    private static final ObjectMapper MAPPER = CBORMapper.builder()
+        .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+        .enable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES)
+        .addMixIn(RouteRules.Hedge.class, Hedges.class)
+        .build();
+
+    private Documents() {
+    }
+
+    @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "kind")
+    @JsonSubTypes({@JsonSubTypes.Type(value = RouteRules.HedgeAfter.class, name = "after"),
+        @JsonSubTypes.Type(value = RouteRules.HedgePercentile.class, name = "percentile"),
+        @JsonSubTypes.Type(value = RouteRules.HedgeOff.class, name = "off")})
+    private interface Hedges {
+    }
+
+    /** What the document of a {@link Entry.Known} holds besides its time. */
+    private record KnownDocument(String node, String run, String build, Settings settings, Snapshot snapshot,
+            Missed missed) {
+    }
+
+    static byte[] known(Entry.Known known) {
+        return write(new KnownDocument(known.node(), known.run(), known.build(), known.settings(), known.snapshot(),
+            known.missed()));
+    }
+
+    static Entry.Known known(long now, byte[] content) throws CaptureFormatException {
+        KnownDocument read = read(content, new TypeReference<KnownDocument>() { });
+        if (read.settings == null || read.snapshot == null) {
+            throw new CaptureFormatException("document: settings or snapshot: null, expected both");
+        }
+        return new Entry.Known(now, read.node, read.run, read.build, read.settings, read.snapshot, read.missed);
+    }
+
+    static byte[] routes(Routes routes) {
+        return routes == null ? new byte[0] : write(routes.all());
+    }
+
+    static Routes routes(byte[] content) throws CaptureFormatException {
+        try {
+            return content.length == 0 ? null : new Routes(read(content, new TypeReference<List<Routes.Route>>() { }));
+        } catch (IllegalArgumentException e) {
+            throw new CaptureFormatException("routes: " + e.getMessage(), e);
+        }
+    }
+
+    /** A snapshot as a tree, for comparing two part by part and for people. */
+    public static JsonNode tree(Snapshot snapshot) {
+        return MAPPER.valueToTree(snapshot);
+    }
+
+    private static byte[] write(Object value) {
+        try {
+            return MAPPER.writeValueAsBytes(value);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a document can't be written: " + e.getOriginalMessage(), e);
+        }
+    }
+
+    private static <T> T read(byte[] content, TypeReference<T> type) throws CaptureFormatException {
+        try {
+            T value = MAPPER.readValue(content, type);
+            if (value == null) {
+                throw new CaptureFormatException("document: is empty");
+            }
+            return value;
+        } catch (JsonProcessingException e) {
+            Throwable cause = e.getCause() instanceof IllegalArgumentException ? e.getCause() : null;
+            throw new CaptureFormatException("document: " + (cause == null ? e.getOriginalMessage() : cause.getMessage()), e);
+        } catch (IOException | IllegalArgumentException e) {
+            throw new CaptureFormatException("document: " + e.getMessage(), e);
+        }
+    }
+}
--- a/cli/src/test/java/weldhitch/HouseTest.java
+++ b/cli/src/test/java/weldhitch/HouseTest.java
@@ -16,14 +16,14 @@
 @AnalyzeClasses(packages = "weldhitch", importOptions = ImportOption.DoNotIncludeTests.class)
 class HouseTest {
     private static final String[] DECISIONS = {"weldhitch.decision..", "weldhitch.control.order..",
-        "weldhitch.control.fleet.."};
+        "weldhitch.control.fleet..", "weldhitch.capture.policy..", "weldhitch.replay.policy.."};
 
     @ArchTest
     static final ArchRule decisionsUseCollectionsAndMathsAlone = classes()
         .that().resideInAnyPackage(DECISIONS)
         .should().onlyDependOnClassesThat()
-        .resideInAnyPackage("weldhitch.decision..", "weldhitch.control.order..", "weldhitch.control.fleet..", "org.apache.commons.rng..",
-            "java.lang", "java.lang.invoke", "java.lang.runtime", "java.util",
+        .resideInAnyPackage("weldhitch.decision..", "weldhitch.control.order..", "weldhitch.control.fleet..",
+            "weldhitch.capture.policy..", "weldhitch.replay.policy..", "org.apache.commons.rng..", "java.lang", "java.lang.invoke", "java.lang.runtime", "java.util",
             "java.util.function", "java.util.stream");
 
     @ArchTest
@@ -56,6 +56,15 @@
         .that().resideInAnyPackage("weldhitch.node..", "weldhitch.wire..", "weldhitch.decision..")
         .should().dependOnClassesThat().resideInAPackage("com.fasterxml.jackson.databind..");
 
+    /** What only tools need is not loaded by a node, nor on its class path. */
+    @ArchTest
+    static final ArchRule nodesDoNotPlayCaptures = noClasses()
+        .that().resideInAnyPackage("weldhitch.node..", "weldhitch.wire..", "weldhitch.operator..", "weldhitch.capture..")
+        .should().dependOnClassesThat().resideInAPackage("weldhitch.replay..");
+
+    @ArchTest
+    static final ArchRule noCirclesWithinCapture = slices().matching("weldhitch.capture.(*)..").should().beFreeOfCycles();
+
     @ArchTest
     static final ArchRule theTestkitIsForTests = noClasses()
         .that().resideOutsideOfPackage("weldhitch.testkit..")
--- a/decision/src/main/java/weldhitch/decision/RouteRules.java
+++ b/decision/src/main/java/weldhitch/decision/RouteRules.java
@@ -1,9 +1,11 @@
 package weldhitch.decision;
 
+import java.util.Collections;
 import java.util.EnumSet;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.TreeMap;
 import weldhitch.decision.Balancing.Outcome;
 
 /**
@@ -23,14 +25,17 @@
 public record RouteRules(long deadline, long attemptTimeout, int attempts, Backoff backoff, Set<Outcome> retryOn,
         Budget budget, Hedge hedge, Bounds retryAfter, Map<String, Double> tenants) {
     /** Outcomes that an operator may name; the others are no outcome of a server. */
-    public static final Set<Outcome> RETRYABLE = Set.copyOf(EnumSet.of(Outcome.CONNECT_FAILED, Outcome.FULL,
+    public static final Set<Outcome> RETRYABLE = Collections.unmodifiableSet(EnumSet.of(Outcome.CONNECT_FAILED, Outcome.FULL,
         Outcome.RESET, Outcome.TIMED_OUT, Outcome.ERROR));
     /** Narrows nothing. */
     public static final RouteRules NONE = new RouteRules(0, 0, 0, null, RETRYABLE, null, null, null, Map.of());
 
     public RouteRules {
-        retryOn = Set.copyOf(retryOn);
-        tenants = Map.copyOf(tenants);
+        // In an order that is the same in every run, as these are saved and compared.
+        EnumSet<Outcome> outcomes = EnumSet.noneOf(Outcome.class);
+        outcomes.addAll(retryOn);
+        retryOn = Collections.unmodifiableSet(outcomes);
+        tenants = Collections.unmodifiableMap(new TreeMap<>(tenants));
         if (deadline < 0 || attemptTimeout < 0 || attempts < 0) {
             throw new IllegalArgumentException("a span or count below 0");
         }
--- a/decision/src/main/java/weldhitch/decision/RouteUse.java
+++ b/decision/src/main/java/weldhitch/decision/RouteUse.java
@@ -2,7 +2,6 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.TreeMap;
 import weldhitch.decision.Balancing.Outcome;
 import weldhitch.decision.RouteRules.*;
 
@@ -21,7 +20,7 @@
         boolean same = before != null && before.budget != null && before.budget.budget().equals(rules.budget());
         budget = rules.budget() == null ? null : same ? before.budget : new RetryBudget(rules.budget());
         tenants = new LinkedHashMap<>();
-        new TreeMap<>(rules.tenants()).forEach((tenant, perSecond) -> tenants.put(tenant,
+        rules.tenants().forEach((tenant, perSecond) -> tenants.put(tenant,
             before != null && perSecond.equals(before.rules.tenants().get(tenant)) ? before.tenants.get(tenant)
                 : new Quota(perSecond / siblings)));
         if (rules.hedge() instanceof HedgePercentile hedge) {
--- a/node/src/main/java/weldhitch/node/Dispatcher.java
+++ b/node/src/main/java/weldhitch/node/Dispatcher.java
@@ -6,9 +6,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import weldhitch.capture.live.Capture;
 import weldhitch.decision.Balancing.*;
 import weldhitch.decision.RatioBalancer;
 import weldhitch.decision.Routes;
+import weldhitch.decision.Snapshot;
 
 final class Dispatcher implements AttemptListener {
     private static final long GUARD = 8_000_000L;
@@ -21,6 +23,8 @@
     private final ArrayDeque<Event> events = new ArrayDeque<>();
     private ServerConnections servers;
     private Runnable onSubscribe = () -> { };
+    /** Told of all that the module is told; null where nothing is captured. */
+    private Capture capture;
     private boolean delivering;
     private int unanswered;
 
@@ -36,6 +40,15 @@
         onSubscribe = subscribe;
     }
 
+    /** From the next event on this one is told of all; none where null. */
+    void capture(Capture next) {
+        capture = next;
+    }
+
+    Snapshot snapshot() {
+        return module.snapshot();
+    }
+
     /** Requests that still wait for their final answer. */
     int unanswered() {
         return unanswered;
@@ -157,7 +170,8 @@
 
     private void deliver(Event event) {
         try {
-            for (Action action : module.handle(clock.now(), event)) {
+            long now = clock.now();
+            for (Action action : capture == null ? module.handle(now, event) : captured(now, event)) {
                 carryOut(action);
             }
         } catch (RuntimeException e) {
@@ -166,6 +180,20 @@
         }
     }
 
+    private List<Action> captured(long now, Event event) {
+        capture.before(now);
+        List<Action> actions = null;
+        try {
+            actions = module.handle(now, event);
+            capture.told(now, event, actions);
+            return actions;
+        } finally {
+            if (actions == null) {
+                capture.failed(now);
+            }
+        }
+    }
+
     private void carryOut(Action action) {
         if (action instanceof Send send) {
             send(send);
--- a/node/src/main/java/weldhitch/node/Node.java
+++ b/node/src/main/java/weldhitch/node/Node.java
@@ -32,6 +32,8 @@
     private ServerConnections servers;
     private Discovery discovery;
     private ClientServer clients;
+    /** What turns captures on and off; null where no operator file is named. */
+    private Recording recording;
     private boolean anyServer;
     private InetSocketAddress bound;
 
@@ -83,6 +85,8 @@
             node.group.next().submit(() -> node.build(config)).sync();
             if (routes != null) {
                 node.group.next().submit(() -> node.dispatcher.routes(routes)).sync();
+                node.recording = new Recording(config.name(), config.settings(), node.group.next(), node.dispatcher);
+                node.recording.put(node.operator.capture());
             }
             node.bound = (InetSocketAddress) node.clients.listen(config.listen()).sync().channel().localAddress();
         } catch (Exception e) {
@@ -133,6 +137,7 @@
         Routes routes = operator == null ? null : operator.again();
         if (routes != null) {
             group.next().submit(() -> dispatcher.routes(routes)).syncUninterruptibly();
+            recording.put(operator.capture());
         }
         try {
             NodeConfig config = NodeConfig.reload(environment);
@@ -151,10 +156,16 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        if (recording != null) {
+            recording.put(null);
+        }
     }
 
     /** Ends at once. */
     void stop() {
+        if (recording != null) {
+            recording.put(null);
+        }
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
 }
--- a/node/src/main/java/weldhitch/node/OperatorRules.java
+++ b/node/src/main/java/weldhitch/node/OperatorRules.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import weldhitch.decision.Balancing.Settings;
 import weldhitch.decision.Routes;
+import weldhitch.operator.CaptureSettings;
 import weldhitch.operator.OperatorFile;
 import weldhitch.operator.Problem;
 
@@ -10,12 +11,18 @@
 final class OperatorRules {
     private final Path file;
     private final Settings platform;
+    private CaptureSettings capture;
 
     OperatorRules(Path file, Settings platform) {
         this.file = file;
         this.platform = platform;
     }
 
+    /** What the last good file says of a capture; null where it says nothing. */
+    CaptureSettings capture() {
+        return capture;
+    }
+
     /** @throws NodeConfig.InvalidConfigException where it has errors; all of them are in the log */
     Routes first() throws NodeConfig.InvalidConfigException {
         OperatorFile read = OperatorFile.read(file, platform);
@@ -23,6 +30,7 @@
         if (!read.usable()) {
             throw new NodeConfig.InvalidConfigException(summary(read));
         }
+        capture = read.capture();
         return read.routes();
     }
 
@@ -33,6 +41,7 @@
             Log.line("the operator file is not taken up, the last good one stays in force: " + summary(read));
             return null;
         }
+        capture = read.capture();
         read.problems().forEach(p -> Log.line(p.toString()));
         Log.line("operator file " + file + " is in force: " + read.routes().all().size() + " routes");
         return read.routes();
--- a/operator/src/main/java/weldhitch/operator/OperatorFile.java
+++ b/operator/src/main/java/weldhitch/operator/OperatorFile.java
@@ -43,10 +43,12 @@
     private final Map<String, Map<Key, Setting>> sources;
 
     private final Settings platform;
+    private final CaptureSettings capture;
 
     private OperatorFile(List<Problem> problems, Routes routes, Map<String, Map<Key, Setting>> sources,
-            Settings platform) {
+            Settings platform, CaptureSettings capture) {
         this.platform = platform;
+        this.capture = capture;
         this.problems = problems.stream().sorted(Comparator.comparingInt(Problem::line)).toList();
         this.routes = routes;
         this.sources = sources;
@@ -83,7 +85,7 @@
     }
 
     private static OperatorFile unusable(Path file, int line, String what, String instead) {
-        return new OperatorFile(List.of(new Problem(file.toString(), line, "", what, instead, false)), null, Map.of(), null);
+        return new OperatorFile(List.of(new Problem(file.toString(), line, "", what, instead, false)), null, Map.of(), null, null);
     }
 
     /** Checks a file's text; {@code file} is what problems call it. */
@@ -109,17 +111,19 @@
             int line = twice > 0 ? twice : e.getLocation() == null ? 0 : e.getLocation().getLineNr();
             problems.add(new Problem(file, line, "", "is no TOML: " + e.getOriginalMessage().lines().findFirst().orElse(""),
                 "mend this line; what comes after it was not looked at", false));
-            return new OperatorFile(problems, null, Map.of(), platform);
+            return new OperatorFile(problems, null, Map.of(), platform, null);
         }
         Lines lines = new Lines(text);
-        List<Section> sections = new Reader(file, lines, problems).read(root);
+        Reader reader = new Reader(file, lines, problems);
+        List<Section> sections = reader.read(root);
+        CaptureSettings capture = new CaptureSection(reader).read(root.get("capture"));
         Checker checker = new Checker(file, lines, platform, problems);
         checker.sections(sections);
         Map<String, Map<Key, Setting>> sources = new LinkedHashMap<>();
         List<Route> routes = new ArrayList<>();
         compile(sections, platform, checker, routes, sources);
         boolean usable = problems.stream().allMatch(Problem::warning);
-        return new OperatorFile(problems, usable ? new Routes(routes) : null, sources, platform);
+        return new OperatorFile(problems, usable ? new Routes(routes) : null, sources, platform, usable ? capture : null);
     }
 
     /** A route of any class becomes one for each class, as each has defaults of its own. */
@@ -208,6 +212,11 @@
         return routes;
     }
 
+    /** What is to be captured; null where the file does not say, or is not {@link #usable}. */
+    public CaptureSettings capture() {
+        return capture;
+    }
+
     /** Which route a request goes by, and what holds for it. The file must be {@link #usable}. */
     public Explanation explain(String requestClass, String method, String target) {
         Route route = routes().match(requestClass, method, target);
--- a/operator/src/main/java/weldhitch/operator/Reader.java
+++ b/operator/src/main/java/weldhitch/operator/Reader.java
@@ -26,11 +26,11 @@
 final class Reader {
     static final int MOST_ROUTES = 5000;
     private static final long LONGEST = 60_000_000_000L;
-    private static final Pattern SPAN = Pattern.compile("([0-9]{1,9}(?:\\.[0-9]{1,9})?)(us|ms|s|m)");
+    private static final Pattern SPAN = Pattern.compile("([0-9]{1,9}(?:\\.[0-9]{1,9})?)(us|ms|s|m|h)");
     private static final Pattern NAME = Pattern.compile("[A-Za-z0-9_.-]{1,64}");
     private static final Map<String, Long> UNITS = Map.of("us", 1_000L, "ms", 1_000_000L, "s", 1_000_000_000L,
-        "m", 60_000_000_000L);
-    private static final List<String> TOP = List.of("version", "defaults", "class", "route");
+        "m", 60_000_000_000L, "h", 3_600_000_000_000L);
+    private static final List<String> TOP = List.of("version", "capture", "defaults", "class", "route");
     private static final List<String> MATCH = List.of("name", "class", "method", "path", "prefix");
     private static final List<String> METHODS = List.of("GET", "POST");
     private static final List<String> RULES = Arrays.stream(Key.values()).map(k -> k.text).toList();
@@ -292,6 +292,11 @@
     // ---- values ----
 
     private Long span(JsonNode value, String key, long least) {
+        return span(value, key, least, LONGEST);
+    }
+
+    /** Nanoseconds from a text such as {@code "250ms"}; null where it is none from {@code least} to {@code most}. */
+    Long span(JsonNode value, String key, long least, long most) {
         Matcher m = value.isTextual() ? SPAN.matcher(value.textValue()) : null;
         if (m == null || !m.matches()) {
             error(key, value + (value.isNumber() ? " has no unit" : " is no span of time"),
@@ -300,14 +305,14 @@
             return null;
         }
         double nanos = Double.parseDouble(m.group(1)) * UNITS.get(m.group(2));
-        if (nanos < least || nanos > LONGEST) {
-            error(key, value + " is out of range", "from " + Spans.text(least) + " to " + Spans.text(LONGEST));
+        if (nanos < least || nanos > most) {
+            error(key, value + " is out of range", "from " + Spans.text(least) + " to " + Spans.text(most));
             return null;
         }
         return (long) nanos;
     }
 
-    private Integer count(JsonNode value, String key, int least, int most) {
+    Integer count(JsonNode value, String key, int least, int most) {
         if (!value.isIntegralNumber() || !value.canConvertToInt() || value.intValue() < least || value.intValue() > most) {
             error(key, value + " is not a whole number from " + least + " to " + most,
                 "write one of these, without quotes");
@@ -325,7 +330,7 @@
         return value.doubleValue();
     }
 
-    private String word(JsonNode table, String at, String name) {
+    String word(JsonNode table, String at, String name) {
         JsonNode value = table.get(name);
         if (value == null) {
             return null;
@@ -337,7 +342,7 @@
         return value.textValue();
     }
 
-    private boolean table(JsonNode value, String key) {
+    boolean table(JsonNode value, String key) {
         if (value != null && !value.isObject()) {
             error(key, value + " is no table", "write [" + key + "] and its rules below it");
         }
@@ -359,7 +364,7 @@
         return sound;
     }
 
-    private boolean known(JsonNode table, String at, Collection<String> known) {
+    boolean known(JsonNode table, String at, Collection<String> known) {
         boolean sound = true;
         for (Map.Entry<String, JsonNode> each : table.properties()) {
             if (!known.contains(each.getKey())) {
@@ -371,7 +376,7 @@
         return sound;
     }
 
-    private void error(String key, String what, String instead) {
+    void error(String key, String what, String instead) {
         problems.add(new Problem(file, lines.of(key), key, what, instead, false));
     }
 }
