--- a/capture/src/main/java/weldhitch/capture/live/Capture.java
+++ b/capture/src/main/java/weldhitch/capture/live/Capture.java
@@ -21,6 +21,7 @@
  * what the writer can't keep up with is left out and counted, and goes on from a snapshot.
  */
 public final class Capture implements Closeable {
+    private static final long BEGINNING_MS = 1_000;
     private static final long CLOSING_MS = 1_000;
     private static final AtomicInteger RUNS = new AtomicInteger();
 
@@ -36,7 +37,7 @@
     private TapPlan.Step step = TapPlan.Step.LEAVE_OUT;
 
     /**
-     * Starts the writer. What goes wrong with the disk is said in {@code log}, one line at a time, and ends nothing.
+     * Starts the writer and waits a second at most for its first file, so that what comes next is in it. What goes wrong with the disk is said in {@code log}, one line at a time, and ends nothing.
      *
      * @param directory for this node alone
      * @param snapshots what the module knows; asked on the thread that tells of events
@@ -54,6 +55,11 @@
         thread = new Thread(writer, "capture");
         thread.setDaemon(true);
         thread.start();
+        try {
+            writer.awaitBegin(BEGINNING_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     /** Ahead of each event: whether what the module knows now is to be kept, or what follows can be read without. */
--- a/capture/src/main/java/weldhitch/capture/live/Writer.java
+++ b/capture/src/main/java/weldhitch/capture/live/Writer.java
@@ -9,6 +9,8 @@
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 import org.agrona.concurrent.OneToOneConcurrentArrayQueue;
@@ -35,6 +37,8 @@
     private volatile boolean writing;
     private volatile long wishes;
     private volatile boolean ending;
+    /** Whether a first segment has been begun, or could not be. */
+    private final CountDownLatch tried = new CountDownLatch(1);
     private FileChannel lockFile;
     private SegmentWriter segment;
     private Segment segmentName;
@@ -64,6 +68,11 @@
         return wishes;
     }
 
+    /** Waits until it has somewhere to write, or has said that it has not. */
+    void awaitBegin(long millis) throws InterruptedException {
+        tried.await(millis, TimeUnit.MILLISECONDS);
+    }
+
     void end() {
         ending = true;
     }
@@ -79,6 +88,7 @@
                     begin();
                     plan.begun(now);
                     writing = true;
+                    tried.countDown();
                 }
                 int taken = drain(now);
                 if (plan.shouldFlush(now, segment != null && segment.full()) || last && plan.writing()) {
@@ -201,6 +211,7 @@
 
     private void failed(long now, Exception e) {
         writing = false;
+        tried.countDown();
         if (plan.failed(now)) {
             log.accept("capture: nothing is written to " + directory + " until it can be again: " + e);
         }
