Cut incidents out of captures as regression tests, and move the simulation to the lab

A past failure should become a test. weldhitch capture cut makes an excerpt with what was known before it; requests, servers, tenants and paths are renamed, servers so that they sort as before, and what would play otherwise under its new names is refused. Segments have a manifest.

--- a/capture/src/main/java/weldhitch/capture/live/Writer.java
+++ b/capture/src/main/java/weldhitch/capture/live/Writer.java
@@ -17,6 +17,7 @@
 import weldhitch.capture.format.CaptureFiles;
 import weldhitch.capture.format.CaptureFiles.Segment;
 import weldhitch.capture.format.Entry;
+import weldhitch.capture.format.Manifest;
 import weldhitch.capture.format.SegmentWriter;
 import weldhitch.capture.policy.CaptureRules;
 import weldhitch.capture.policy.Retention;
@@ -186,6 +187,7 @@
         for (Segment leaving : Retention.leaving(kept, rules.totalBytes(), rules.segmentBytes())) {
             Files.deleteIfExists(leaving.file());
         }
+        Manifest.write(directory, CaptureFiles.in(directory));
     }
 
     /** Two nodes in one directory would delete each other's segments. */
--- a/capture/src/test/java/weldhitch/capture/live/WriterTest.java
+++ b/capture/src/test/java/weldhitch/capture/live/WriterTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
@@ -111,6 +113,10 @@
         // A segment may outgrow its size by what comes before the snapshot that ends it.
         assertTrue(bytes < (256 << 10) + (512 << 10), bytes + " bytes");
         assertTrue(read().get(0) instanceof Entry.Known);
+        JsonNode manifest = new ObjectMapper().readTree(top.resolve("capture/manifest.json").toFile()).path("segments");
+        assertEquals(segments.stream().map(s -> s.file().getFileName().toString()).toList(), manifest.findValuesAsText("file"));
+        assertEquals(segments.get(0).file().toFile().length(), manifest.get(0).path("bytes").asLong());
+        assertFalse(manifest.get(manifest.size() - 1).path("ended").asBoolean());
     }
 
     private boolean first(long number) {
--- a/cli/src/main/java/weldhitch/cli/CaptureCommands.java
+++ b/cli/src/main/java/weldhitch/cli/CaptureCommands.java
@@ -3,7 +3,9 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
 import java.io.PrintWriter;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -11,7 +13,13 @@
 import java.util.concurrent.TimeUnit;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+import weldhitch.capture.format.CaptureFormatException;
+import weldhitch.replay.Cut;
 import weldhitch.replay.Player;
 import weldhitch.replay.Summary;
 import weldhitch.replay.Summary.Counts;
@@ -19,8 +27,8 @@
 import weldhitch.replay.policy.RuleJudge.Breach;
 
 /** What can be asked of a capture without playing it against itself. */
-@Command(name = "capture", mixinStandardHelpOptions = true, description = "Counts a capture, or holds it against the rules.",
-    subcommands = {CaptureCommands.SummaryCommand.class, CaptureCommands.VerifyCommand.class})
+@Command(name = "capture", mixinStandardHelpOptions = true, description = "Counts a capture, holds it against the rules, or cuts an excerpt.",
+    subcommands = {CaptureCommands.SummaryCommand.class, CaptureCommands.VerifyCommand.class, CaptureCommands.CutCommand.class})
 final class CaptureCommands {
     private static final int MOST_SHOWN = 50;
 
@@ -64,6 +72,40 @@
         }
     }
 
+    @Command(name = "cut", mixinStandardHelpOptions = true,
+        description = "Cuts a small excerpt with what was known before it, in which requests, servers, tenants and paths are "
+            + "renamed; it plays as the original does. Exit status 1 where it can't be cut, 3 where it can't be read.")
+    static final class CutCommand implements Callable<Integer> {
+        @Spec
+        private CommandSpec command;
+        @Parameters(arity = "1..*", paramLabel = "PATH", description = "Segments of a capture in their order, or its directory.")
+        private List<Path> paths;
+        @Option(names = "--from", paramLabel = "EVENT", required = true, description = "The first event, counted from 1.")
+        private long from;
+        @Option(names = "--count", defaultValue = "2000", description = "How many events; 2000.")
+        private long count;
+        @Option(names = "--out", paramLabel = "FILE", required = true, description = "Where to write; must not be there.")
+        private Path out;
+
+        @Override
+        public Integer call() {
+            if (from < 1 || count < 1) {
+                throw new ParameterException(command.commandLine(), "--from, --count: expected 1 or more");
+            }
+            try {
+                Cut cut = new Cut(from, count).read(paths);
+                cut.write(out);
+                command.commandLine().getOut().println(cut.events() + " events in " + out);
+                command.commandLine().getOut().flush();
+                return 0;
+            } catch (IOException | IllegalStateException e) {
+                command.commandLine().getErr().println("weldhitch: " + e.getMessage());
+                command.commandLine().getErr().flush();
+                return e instanceof CaptureFormatException ? CaptureOption.UNREADABLE : 1;
+            }
+        }
+    }
+
     @Command(name = "summary", mixinStandardHelpOptions = true,
         description = "Counts a capture: how requests ended by class and over time, refusals by cause, servers' shares.")
     static final class SummaryCommand implements Callable<Integer> {
--- a/decision/src/main/java/weldhitch/decision/Balancing.java
+++ b/decision/src/main/java/weldhitch/decision/Balancing.java
@@ -206,6 +206,11 @@
     public record Report(String text) implements Action {
     }
 
+    /** Where a server stands in the order in which nodes look at the list: 0 to 2^31 - 1, by its name alone. */
+    public static int place(String server) {
+        return server.hashCode() * 0x9E3779B1 >>> 1;
+    }
+
     private static void require(boolean sound, String setting) {
         if (!sound) {
             throw new IllegalArgumentException("setting out of range: " + setting);
--- a/decision/src/main/java/weldhitch/decision/Upstream.java
+++ b/decision/src/main/java/weldhitch/decision/Upstream.java
@@ -43,7 +43,7 @@
 
     Upstream(String id, String zone, long cell, long startedAt, Failures zoneFailures) {
         this.id = id;
-        this.place = id.hashCode() * 0x9E3779B1 >>> 1;
+        this.place = Balancing.place(id);
         this.zone = zone;
         this.cell = cell;
         this.startedAt = startedAt;
--- a/lab/src/main/java/weldhitch/lab/scenario/Scenario.java
+++ b/lab/src/main/java/weldhitch/lab/scenario/Scenario.java
@@ -22,7 +22,7 @@
     }
 
     /** Servers of one kind; {@code zone} null spreads them over all. Work is divided by {@code speed}. */
-    public record Servers(int count, String zone, Draws speed, int slots, int queue, double coldShare, long coldSpan) {
+    public record Servers(int count, String zone, Draws speed, Draws slots, Draws queue, double coldShare, long coldSpan) {
     }
 
     /** A class of requests, its part of all, the work it does on a core and what it waits for elsewhere. */
@@ -34,7 +34,7 @@
     }
 
     /** What goes wrong, and for how long. */
-    public enum TroubleKind { STALL, SLOW, ERRORS, SILENT, RELEASE, RESTART_NODE, CUT_ZONE }
+    public enum TroubleKind { STALL, FULL, SLOW, ERRORS, SILENT, RELEASE, RESTART_NODE, CUT_ZONE }
 
     /**
      * @param servers how many of the zone's, or of all where null
--- a/lab/src/main/java/weldhitch/lab/scenario/ScenarioFile.java
+++ b/lab/src/main/java/weldhitch/lab/scenario/ScenarioFile.java
@@ -97,7 +97,7 @@
         site.path("zones").forEach(z -> zones.add(z.textValue()));
         List<Servers> servers = new ArrayList<>();
         root.path("servers").forEach(s -> servers.add(new Servers(s.path("count").intValue(), s.path("zone").textValue(),
-            draws(s.get("speed"), new Draws.Constant(1)), s.path("slots").asInt(16), s.path("queue").asInt(32),
+            draws(s.get("speed"), new Draws.Constant(1)), draws(s.get("slots"), new Draws.Constant(16)), draws(s.get("queue"), new Draws.Constant(32)),
             s.path("cold-share").asDouble(1), span(s.get("cold-span"), 0))));
         List<Kind> kinds = new ArrayList<>();
         root.path("class").forEach(c -> kinds.add(new Kind(new RequestClass(c.path("name").textValue(),
--- a/lab/src/main/java/weldhitch/lab/site/SimServer.java
+++ b/lab/src/main/java/weldhitch/lab/site/SimServer.java
@@ -29,6 +29,8 @@
     private double slower = 1;
     private boolean stalled;
     boolean draining;
+    /** Turns all away. */
+    boolean full;
     boolean gone;
     /** Answers with an error at once, as a server with a broken disk would. */
     boolean broken;
@@ -85,7 +87,7 @@
             reply.ended(Outcome.CONNECT_FAILED);
         } else if (broken) {
             reply.ended(Outcome.ERROR);
-        } else if (draining || held >= slots && waiting.size() >= queue) {
+        } else if (draining || full || held >= slots && waiting.size() >= queue) {
             reply.ended(Outcome.FULL);
         } else {
             waiting.add(new Job(work, elsewhere, reply));
--- a/lab/src/main/java/weldhitch/lab/site/Site.java
+++ b/lab/src/main/java/weldhitch/lab/site/Site.java
@@ -93,7 +93,8 @@
 
     private SimServer server(Servers kind, String zone, long startedAt) {
         SimServer s = new SimServer(clock, "s-" + Long.toString(names++, 36), zone, startedAt,
-            Math.max(0.01, kind.speed().draw(placing)), kind.slots(), kind.queue(), kind.coldShare(), kind.coldSpan());
+            Math.max(0.01, kind.speed().draw(placing)), Math.max(1, (int) kind.slots().draw(placing)),
+            (int) kind.queue().draw(placing), kind.coldShare(), kind.coldSpan());
         servers.put(s.id, s);
         kinds.put(s, kind);
         return s;
@@ -163,6 +164,7 @@
         at(t.at(), () -> {
             switch (t.kind()) {
                 case STALL -> during(t, s -> s.stall(true), s -> s.stall(false));
+                case FULL -> during(t, s -> s.full = true, s -> s.full = false);
                 case SLOW -> during(t, s -> s.slow(t.factor()), s -> s.slow(1));
                 case ERRORS -> during(t, s -> s.broken = true, s -> s.broken = false);
                 case SILENT -> hit(t).forEach(s -> {
