--- a/capture/src/main/java/weldhitch/capture/format/Entry.java
+++ b/capture/src/main/java/weldhitch/capture/format/Entry.java
@@ -18,9 +18,9 @@
      */
     record Known(long now, String node, String run, String build, Settings settings, Snapshot snapshot, Missed missed)
             implements Entry {
-        /** The same, with more of what is missing before it. */
-        public Known missing(Missed more) {
-            return more == null ? this : new Known(now, node, run, build, settings, snapshot, more.and(missed));
+        /** The same, with this missing before it. */
+        public Known missing(Missed all) {
+            return new Known(now, node, run, build, settings, snapshot, all);
         }
     }
 
--- a/capture/src/main/java/weldhitch/capture/live/Writer.java
+++ b/capture/src/main/java/weldhitch/capture/live/Writer.java
@@ -80,7 +80,6 @@
 
     @Override
     public void run() {
-        boolean rotates = false;
         while (true) {
             long now = System.nanoTime();
             boolean last = ending;
@@ -88,6 +87,8 @@
                 if (plan.shouldBegin(now) && !last) {
                     begin();
                     plan.begun(now);
+                    // The node's side may not have seen that there was nowhere to write for a while.
+                    wish();
                     writing = true;
                     tried.countDown();
                 }
@@ -95,11 +96,9 @@
                 if (plan.shouldFlush(now, segment != null && segment.full()) || last && plan.writing()) {
                     flush();
                 }
-                if (!rotates && plan.writing() && (plan.shouldRotate(now, segment.written()) || segment.wordsRunOut())) {
-                    rotates = true;
+                if (plan.writing() && plan.shouldWish(now, segment.written(), segment.wordsRunOut())) {
                     wish();
                 }
-                rotates &= plan.writing() && plan.shouldRotate(now, segment.written());
                 if (last && queue.isEmpty()) {
                     release();
                     return;
@@ -120,6 +119,8 @@
             if (entry instanceof Entry.Known known) {
                 if (plan.writing()) {
                     known(now, known);
+                } else {
+                    plan.snapshotLost(known.missed());
                 }
             } else if (entry instanceof Entry.Told told) {
                 if (!plan.takesEvents()) {
@@ -143,7 +144,7 @@
         if (plan.shouldRotate(now, segment.written())) {
             rotate(now);
         }
-        segment.add(known.missing(plan.snapshot(now)));
+        segment.add(known.missing(plan.snapshot(now, known.missed())));
     }
 
     private void wish() {
--- a/capture/src/main/java/weldhitch/capture/policy/WriterPlan.java
+++ b/capture/src/main/java/weldhitch/capture/policy/WriterPlan.java
@@ -19,6 +19,7 @@
     private boolean complained;
     /** After what could not be written, all is left out up to the next snapshot. */
     private boolean brokenOff;
+    private boolean wished;
     /** Events of the block at hand: lost where it can't be written. */
     private Missed unwritten;
     private Missed missed;
@@ -81,13 +82,32 @@
         missed = new Missed(eventTime, eventTime, 1).and(missed);
     }
 
-    /** A snapshot is written, and events can be again; what is missing before it. */
-    public Missed snapshot(long now) {
-        Missed before = missed;
+    /** A snapshot came that there was nowhere to write; what it said to be missing still is. */
+    public void snapshotLost(Missed said) {
+        missed = said == null ? missed : said.and(missed);
+    }
+
+    /**
+     * A snapshot is put at the beginning of a block, and events can be written again.
+     *
+     * @param said what it says to be missing before it, or null
+     * @return all that is missing before it, or null; missing still where the block can't be written
+     */
+    public Missed snapshot(long now, Missed said) {
+        snapshotLost(said);
+        unwritten = missed;
         missed = null;
         brokenOff = false;
+        wished = false;
         firstUnwrittenAt = firstUnwrittenAt < 0 ? now : firstUnwrittenAt;
-        return before;
+        return unwritten;
+    }
+
+    /** Whether to wish for a snapshot now: once until one comes, where it must end a segment or words run out. */
+    public boolean shouldWish(long now, long bytes, boolean wordsRunOut) {
+        boolean wish = !wished && (wordsRunOut || shouldRotate(now, bytes));
+        wished |= wish;
+        return wish;
     }
 
     /** Whether the block at hand is to be written. */
--- a/capture/src/test/java/weldhitch/capture/policy/PlansTest.java
+++ b/capture/src/test/java/weldhitch/capture/policy/PlansTest.java
@@ -77,7 +77,7 @@
         // A file that opens is not yet one that can be written.
         assertFalse(plan.failed(at));
         plan.begun(at);
-        plan.snapshot(at);
+        plan.snapshot(at, null);
         plan.written();
         assertTrue(plan.failed(at));
         assertTrue(plan.shouldBegin(at + S));
@@ -88,7 +88,7 @@
         WriterPlan plan = new WriterPlan(RULES);
         plan.begun(0);
         assertFalse(plan.shouldFlush(5 * S, false));
-        plan.snapshot(5 * S);
+        plan.snapshot(5 * S, null);
         plan.added(5 * S + 1, 77);
         assertFalse(plan.shouldFlush(6 * S - 1, false));
         assertTrue(plan.shouldFlush(6 * S - 1, true));
@@ -102,7 +102,7 @@
         WriterPlan plan = new WriterPlan(RULES);
         plan.begun(0);
         assertFalse(plan.takesEvents());
-        assertNull(plan.snapshot(0));
+        assertNull(plan.snapshot(0, null));
         assertTrue(plan.takesEvents());
         plan.added(1, 10);
         plan.written();
@@ -113,11 +113,40 @@
         plan.leftOut(22);
         plan.begun(4);
         assertFalse(plan.takesEvents());
-        assertEquals(new Missed(20, 22, 3), plan.snapshot(5));
+        assertEquals(new Missed(20, 22, 3), plan.snapshot(5, null));
         plan.leftOut(30);
         assertFalse(plan.takesEvents());
-        assertEquals(new Missed(30, 30, 1), plan.snapshot(6));
-        assertNull(plan.snapshot(7));
+        assertEquals(new Missed(30, 30, 1), plan.snapshot(6, null));
+        assertNull(plan.snapshot(7, null));
+    }
+
+    @Test
+    void whatASnapshotSaysToBeMissingIsNotForgottenWithIt() {
+        WriterPlan plan = new WriterPlan(RULES);
+        plan.begun(0);
+        plan.leftOut(30);
+        assertEquals(new Missed(10, 30, 5), plan.snapshot(1, new Missed(10, 20, 4)));
+        plan.added(2, 40);
+        // Its block never reached the disk, and the next snapshot came while there was nowhere to write.
+        plan.failed(3);
+        plan.snapshotLost(new Missed(41, 45, 2));
+        plan.begun(4);
+        assertEquals(new Missed(10, 45, 8), plan.snapshot(5, null));
+        plan.written();
+        assertNull(plan.snapshot(6, null));
+    }
+
+    @Test
+    void wishesForASnapshotOnceUntilOneComes() {
+        WriterPlan plan = new WriterPlan(RULES);
+        plan.begun(0);
+        plan.snapshot(0, null);
+        assertFalse(plan.shouldWish(S, 0, false));
+        assertTrue(plan.shouldWish(S, 0, true));
+        assertFalse(plan.shouldWish(S, 0, true));
+        plan.snapshot(S, null);
+        assertTrue(plan.shouldWish(100 * S, 0, false));
+        assertFalse(plan.shouldWish(101 * S, 0, false));
     }
 
     @Test
--- a/lab/src/main/java/weldhitch/lab/site/Figures.java
+++ b/lab/src/main/java/weldhitch/lab/site/Figures.java
@@ -52,7 +52,6 @@
     public final Map<String, Long> servers = new TreeMap<>();
     /** Final answers of nodes that were no service, by the module's reason. */
     public final Map<String, Long> causes = new TreeMap<>();
+    /** Attempts that went to another zone. */
     public long crossings;
-    /** Decisions of all nodes. */
-    public long decisions;
 }
--- a/lab/src/main/java/weldhitch/lab/site/Site.java
+++ b/lab/src/main/java/weldhitch/lab/site/Site.java
@@ -135,7 +135,6 @@
 
         @Override
         public void decided(long at, String request, Why why) {
-            figures.decisions++;
             if (why != Why.ADMITTED && why != Why.WAITS_FOR_ROOM) {
                 whys.put(request, why);
             }
