--- a/cli/src/main/java/weldhitch/cli/LabCommands.java
+++ b/cli/src/main/java/weldhitch/cli/LabCommands.java
@@ -16,6 +16,7 @@
 import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
+import weldhitch.decision.Routes;
 import weldhitch.lab.report.CaptureTap;
 import weldhitch.lab.report.Comparison;
 import weldhitch.lab.report.Report;
@@ -24,6 +25,7 @@
 import weldhitch.lab.scenario.ScenarioFile.InvalidScenarioException;
 import weldhitch.lab.site.Figures;
 import weldhitch.lab.site.Site;
+import weldhitch.operator.OperatorFile;
 
 /** The laboratory. */
 @Command(name = "lab", mixinStandardHelpOptions = true, description = "Plays sites and their failures in virtual time.",
@@ -35,7 +37,7 @@
     private LabCommands() {
     }
 
-    /** Exit status 1 where the scenario has errors, 3 where something can't be read or written. */
+    /** Exit status 1 where the scenario or the operator file has errors, 3 where something can't be read or written. */
     @Command(name = "run", mixinStandardHelpOptions = true,
         description = "Plays a scenario and writes figures (JSON, CSV) and a page with plots for each seed: exit status 1 "
             + "where the scenario has errors, 3 where something can't be read or written.")
@@ -55,6 +57,8 @@
         private int servers;
         @Option(names = "--length", paramLabel = "SECONDS", description = "So long instead of the scenario's length.")
         private int length;
+        @Option(names = "--operator", paramLabel = "FILE", description = "An operator file whose routes are in force at every node.")
+        private Path operator;
         @Option(names = "--out", paramLabel = "DIR", description = "Where to write; nothing is written without.")
         private Path out;
         @Option(names = "--capture", paramLabel = "DIR", description = "Captures the first node there (one seed only).")
@@ -65,12 +69,22 @@
             PrintWriter to = command.commandLine().getOut();
             PrintWriter err = command.commandLine().getErr();
             try {
+                Routes routes = null;
+                if (operator != null) {
+                    OperatorFile file = OperatorFile.read(operator, null);
+                    file.problems().forEach(err::println);
+                    err.flush();
+                    if (!file.usable()) {
+                        return INVALID;
+                    }
+                    routes = file.routes();
+                }
                 Scenario read = ScenarioFile.read(scenario).sized(nodes, servers);
                 read = length > 0 ? read.lasting(length * 1_000_000_000L) : read;
                 to.printf("%-8s %9s %9s %9s %9s %9s %9s %8s %8s %10s%n", "seed", "offered", "in time", "late", "refused", "failed",
                     "goodput", "p50, ms", "p99, ms", "played, /s");
                 for (long seed : seeds()) {
-                    play(read, seed, to);
+                    play(read, seed, routes, to);
                     to.flush();
                 }
                 return 0;
@@ -96,15 +110,15 @@
             return LongStream.rangeClosed(from, end).boxed().toList();
         }
 
-        private void play(Scenario read, long seed, PrintWriter to) throws IOException {
+        private void play(Scenario read, long seed, Routes routes, PrintWriter to) throws IOException {
             long begun = System.nanoTime();
             Figures figures;
             if (capture == null) {
-                figures = new Site(read, seed, null).play();
+                figures = new Site(read, seed, routes, null).play();
             } else {
                 CaptureTap tap = new CaptureTap(capture);
                 try (tap) {
-                    figures = new Site(read, seed, tap).play();
+                    figures = new Site(read, seed, routes, tap).play();
                 }
                 to.printf(Locale.ROOT, "captured %d events of the first node in %s%n", tap.events(), capture);
             }
@@ -141,8 +155,8 @@
             try {
                 List<String> lines = new ArrayList<>();
                 for (Comparison.Change c : Comparison.of(before, after, confidence)) {
-                    lines.add(String.format(Locale.ROOT, "%-12s %12.4f %12.4f   change from %+.4f to %+.4f over %d seeds: %s", c.figure(), c.before(),
-                        c.after(), c.low(), c.high(), c.seeds(), c.differs() ? "differs" : "no difference shown"));
+                    lines.add(String.format(Locale.ROOT, "%-12s %12.4f %12.4f   change from %+.4f to %+.4f over %d seeds: %s", c.figure(),
+                        c.is().before(), c.is().after(), c.is().low(), c.is().high(), c.is().seeds(), c.is().differs() ? "differs" : "no difference shown"));
                 }
                 lines.forEach(to::println);
                 to.flush();
--- a/lab/src/main/java/weldhitch/lab/report/Comparison.java
+++ b/lab/src/main/java/weldhitch/lab/report/Comparison.java
@@ -10,21 +10,16 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.stream.Stream;
-import org.apache.commons.math3.distribution.TDistribution;
-import org.apache.commons.math3.stat.descriptive.SummaryStatistics;
 
 /**
  * Two sets of plays over the same seeds, of two builds or two settings: what the second changed, seed by seed, with a
- * confidence interval of the mean (Student's t over paired differences).
+ * confidence interval of the mean.
  */
 public final class Comparison {
     private static final List<String> FIGURES = List.of("goodput", "inTimeShare", "refused", "failed", "attempts", "p50Ms", "p99Ms");
 
-    /** A figure's mean in both, and the interval in which its mean change lies; {@code differs} where that leaves out 0. */
-    public record Change(String figure, double before, double after, double low, double high, int seeds) {
-        public boolean differs() {
-            return low > 0 || high < 0;
-        }
+    /** What became of a figure. */
+    public record Change(String figure, Paired.Change is) {
     }
 
     private Comparison() {
@@ -38,29 +33,21 @@
         Map<Long, JsonNode> one = plays(before);
         Map<Long, JsonNode> other = plays(after);
         one.keySet().retainAll(other.keySet());
+        other.keySet().retainAll(one.keySet());
         if (one.size() < 2) {
             throw new IOException(before + " and " + after + ": " + one.size() + " seeds in both, expected two or more");
         }
         List<Change> changes = new ArrayList<>();
         for (String figure : FIGURES) {
-            SummaryStatistics had = new SummaryStatistics();
-            SummaryStatistics has = new SummaryStatistics();
-            SummaryStatistics change = new SummaryStatistics();
-            one.forEach((seed, play) -> {
-                double a = play.path("all").path(figure).asDouble();
-                double b = other.get(seed).path("all").path(figure).asDouble();
-                had.addValue(a);
-                has.addValue(b);
-                change.addValue(b - a);
-            });
-            double t = new TDistribution(change.getN() - 1).inverseCumulativeProbability((1 + confidence) / 2);
-            double half = t * change.getStandardDeviation() / Math.sqrt(change.getN());
-            changes.add(new Change(figure, had.getMean(), has.getMean(), change.getMean() - half, change.getMean() + half,
-                (int) change.getN()));
+            changes.add(new Change(figure, Paired.change(column(one, figure), column(other, figure), confidence)));
         }
         return changes;
     }
 
+    private static double[] column(Map<Long, JsonNode> plays, String figure) {
+        return plays.values().stream().mapToDouble(play -> play.path("all").path(figure).asDouble()).toArray();
+    }
+
     private static Map<Long, JsonNode> plays(Path directory) throws IOException {
         Map<Long, JsonNode> plays = new TreeMap<>();
         try (Stream<Path> files = Files.list(directory)) {
--- a/lab/src/main/java/weldhitch/lab/site/Clockwork.java
+++ b/lab/src/main/java/weldhitch/lab/site/Clockwork.java
@@ -3,11 +3,15 @@
 import java.util.PriorityQueue;
 
 /** Virtual time: what is due is run in the order of its time, and of its planning where times are equal. */
-final class Clockwork {
+public final class Clockwork {
     private final PriorityQueue<Due> due = new PriorityQueue<>();
-    private long now = 1_000_000_000_000L;
+    private long now;
     private long planned;
 
+    public Clockwork(long start) {
+        now = start;
+    }
+
     private record Due(long at, long number, Runnable work) implements Comparable<Due> {
         @Override
         public int compareTo(Due other) {
@@ -16,15 +20,15 @@
     }
 
     /** Nanoseconds. */
-    long now() {
+    public long now() {
         return now;
     }
 
-    void after(long nanos, Runnable work) {
+    public void after(long nanos, Runnable work) {
         due.add(new Due(now + Math.max(0, nanos), planned++, work));
     }
 
-    void runUntil(long end) {
+    public void runUntil(long end) {
         while (!due.isEmpty() && due.peek().at <= end) {
             Due next = due.poll();
             now = next.at;
--- a/lab/src/main/java/weldhitch/lab/site/Network.java
+++ b/lab/src/main/java/weldhitch/lab/site/Network.java
@@ -6,7 +6,7 @@
 import weldhitch.lab.scenario.Scenario;
 
 /** Carries messages between zones: late by a draw, lost now and then, and not at all where a zone is cut off. */
-final class Network {
+final class Network implements SimNode.Links {
     private final Clockwork clock;
     private final Scenario scenario;
     private final UniformRandomProvider random;
@@ -27,7 +27,8 @@
     }
 
     /** What arrives does so later; what does not is never heard of. */
-    void carry(String from, String to, Runnable arrives) {
+    @Override
+    public void carry(String from, String to, Runnable arrives) {
         boolean near = from.equals(to);
         long delay = Math.max(0, (long) (near ? scenario.sameZone() : scenario.crossZone()).draw(random));
         boolean lost = scenario.loss() > 0 && random.nextDouble() < scenario.loss();
--- a/lab/src/main/java/weldhitch/lab/site/SimNode.java
+++ b/lab/src/main/java/weldhitch/lab/site/SimNode.java
@@ -5,15 +5,18 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Function;
 import weldhitch.decision.Balancing.*;
 import weldhitch.decision.RatioBalancer;
+import weldhitch.decision.Routes;
+import weldhitch.decision.Snapshot;
 import weldhitch.decision.Watch;
 
 /** The module with the sockets left out: what the node's dispatcher does, in virtual time. */
-final class SimNode {
+public final class SimNode {
     private final Clockwork clock;
-    private final Network network;
-    private final Map<String, SimServer> servers;
+    private final Links links;
+    private final Function<String, ? extends Box> servers;
     private final Settings settings;
     private final Watch watch;
     private final Tap tap;
@@ -27,13 +30,19 @@
     boolean open;
 
     /** Hears of each attempt. */
-    interface Sends {
+    public interface Sends {
         void sent(String server, boolean otherZone);
     }
 
-    enum Answered { SERVED, REFUSED, FAILED }
+    /** Carries what goes between two zones; what does not arrive is never heard of. */
+    public interface Links {
+        void carry(String from, String to, Runnable arrives);
+    }
+
+    public enum Answered { SERVED, REFUSED, FAILED }
 
-    interface Answer {
+    /** Hears of a request's final answer; {@code retryAfter}: nanoseconds, 0 for no advice. */
+    public interface Answer {
         void given(Answered how, long retryAfter);
     }
 
@@ -51,8 +60,7 @@
     /** A request at this node, until its final answer is given and no attempt is out. */
     private static final class Held {
         final String id;
-        final double work;
-        final long elsewhere;
+        final Call call;
         final long deadline;
         final Answer answer;
         final List<Sent> sent = new ArrayList<>();
@@ -61,19 +69,24 @@
         int mayHaveRun;
         boolean over;
 
-        Held(String id, double work, long elsewhere, long deadline, boolean unsafe, Answer answer) {
+        Held(String id, Call call, long deadline, boolean unsafe, Answer answer) {
             this.id = id;
-            this.work = work;
-            this.elsewhere = elsewhere;
+            this.call = call;
             this.deadline = deadline;
             this.unsafe = unsafe;
             this.answer = answer;
         }
     }
 
-    SimNode(Clockwork clock, Network network, Map<String, SimServer> servers, Settings settings, Watch watch, Tap tap, Sends sends) {
+    /**
+     * @param servers by name; one that is asked for is there
+     * @param watch told why, or null
+     * @param tap told of all that the module is told, or null
+     */
+    public SimNode(Clockwork clock, Links links, Function<String, ? extends Box> servers, Settings settings, Watch watch, Tap tap,
+            Sends sends) {
         this.clock = clock;
-        this.network = network;
+        this.links = links;
         this.servers = servers;
         this.settings = settings;
         this.watch = watch;
@@ -86,14 +99,62 @@
     }
 
     /** A fresh start: nothing of what the one before had learned is left. */
-    void start(long seed, List<ServerEntry> known) {
+    void start(long seed, Routes routes, List<ServerEntry> known) {
+        begin(new RatioBalancer(settings, seed).snapshot());
+        if (routes != null) {
+            tell(new NewRoutes(routes));
+        }
+        tell(new Membership(ListKind.REMEMBERED, known));
+    }
+
+    private void begin(Snapshot snapshot) {
         life++;
-        module = RatioBalancer.restore(settings, new RatioBalancer(settings, seed).snapshot(), watch);
+        module = RatioBalancer.restore(settings, snapshot, watch);
         open = true;
         if (tap != null) {
             tap.starts(settings, module::snapshot);
         }
-        tell(new Membership(ListKind.REMEMBERED, known));
+    }
+
+    /**
+     * Goes on from what a node knew, with the requests that it had. Attempts that were out then end as {@link #ended} says,
+     * or at their request's deadline.
+     */
+    public void resume(Snapshot snapshot, Answer answer) {
+        begin(snapshot);
+        for (Snapshot.OfRequest saved : snapshot.requests()) {
+            RequestClass about = settings.classes().stream().filter(c -> c.name().equals(saved.requestClass())).findFirst().orElse(null);
+            Held held = new Held(saved.id(), new Call(saved.requestClass(), 1, 0), saved.deadline(),
+                about == null || about.effect() == Effect.UNSAFE, answer);
+            held.over = saved.done();
+            for (Snapshot.OfAttempt attempt : saved.attempts()) {
+                int number = held.sent.size();
+                held.sent.add(new Sent(snapshot.servers().get(attempt.server()).id(), attempt.sentAt()));
+                held.sent.get(number).ended = attempt.ended();
+                held.mayHaveRun += attempt.ended() && attempt.neverRan() ? 0 : 1;
+                if (!attempt.ended()) {
+                    later(saved.deadline() - clock.now(), () -> end(held, number, Outcome.TIMED_OUT));
+                }
+            }
+            requests.put(held.id, held);
+            forget(held);
+        }
+        if (snapshot.armedFor() < Long.MAX_VALUE) {
+            later(snapshot.armedFor() - clock.now(), () -> tell(new Timer("due")));
+        }
+    }
+
+    /** How an attempt ended that was out when this node went on from a snapshot. */
+    public void ended(String request, int attempt, Outcome outcome) {
+        Held held = requests.get(request);
+        if (held != null && attempt < held.sent.size()) {
+            end(held, attempt, outcome);
+        }
+    }
+
+    /** News of the list or of routes. */
+    public void told(Event news) {
+        tell(news);
     }
 
     /** Ends; what it still held has gone with it. */
@@ -110,21 +171,25 @@
         }
     }
 
-    void ask(String id, RequestClass about, double work, long elsewhere, long deadline, boolean again, Answer answer) {
-        Held held = new Held(id, work, elsewhere, deadline, about.effect() == Effect.UNSAFE, answer);
-        requests.put(id, held);
+    /** @param unsafe whether it must never run twice */
+    public void ask(Arrival arrival, boolean unsafe, Call call, Answer answer) {
+        if (requests.containsKey(arrival.request())) {
+            tell(arrival);
+            return;
+        }
+        Held held = new Held(arrival.request(), call, arrival.deadline(), unsafe, answer);
+        requests.put(held.id, held);
         int born = life;
-        clock.after(deadline - clock.now() + settings.rules().answerSlack(), () -> {
+        clock.after(held.deadline - clock.now() + settings.rules().answerSlack(), () -> {
             if (born == life && !held.over) {
-                throw new AssertionError("no final answer for " + id + " of " + about.name());
+                throw new AssertionError("no final answer for " + held.id + " of " + arrival.requestClass());
             }
         });
-        tell(new Arrival(id, about.name(), deadline, null, 0, again, about.effect() == Effect.SAFE ? "GET" : "POST",
-            "/" + about.name()));
+        tell(arrival);
     }
 
     /** The caller has given up. */
-    void left(String id) {
+    public void left(String id) {
         Held held = requests.get(id);
         if (held != null && !held.over) {
             held.over = true;
@@ -162,7 +227,7 @@
             end(requests.get(cancel.request()), cancel.attempt(), Outcome.CANCELLED);
         } else if (action instanceof Refuse refuse) {
             Held held = requests.get(refuse.request());
-            if (held.unsafe && held.mayHaveRun > 0) {
+            if (held != null && held.unsafe && held.mayHaveRun > 0) {
                 throw new AssertionError("refused after it may have run: " + held.id);
             }
             answer(held, Answered.REFUSED, refuse.retryAfter());
@@ -181,7 +246,7 @@
     }
 
     private void answer(Held held, Answered how, long retryAfter) {
-        if (!held.over) {
+        if (held != null && !held.over) {
             held.over = true;
             held.answer.given(how, retryAfter);
             forget(held);
@@ -199,11 +264,12 @@
         long sentAt = clock.now();
         long until = send.timeout() > 0 ? Math.min(held.deadline, sentAt + send.timeout()) : held.deadline;
         later(until - sentAt, () -> end(held, number, Outcome.TIMED_OUT));
-        SimServer server = servers.get(send.server());
-        sends.sent(server.id, !server.zone.equals(zone()));
+        Box server = servers.apply(send.server());
+        String zone = server.zone();
+        sends.sent(send.server(), !zone.equals(zone()));
         int born = life;
-        network.carry(zone(), server.zone, () -> server.take(held.work, held.elsewhere,
-            outcome -> network.carry(server.zone, zone(), () -> {
+        links.carry(zone(), zone, () -> server.take(held.call,
+            outcome -> links.carry(zone, zone(), () -> {
                 if (born == life) {
                     end(held, number, outcome);
                 }
--- a/lab/src/main/java/weldhitch/lab/site/SimServer.java
+++ b/lab/src/main/java/weldhitch/lab/site/SimServer.java
@@ -9,7 +9,7 @@
  * and holds its slot meanwhile. Beyond its slots a few wait; beyond those it turns requests away. What is called off
  * is worked on all the same. One that has just started does a part of its work, and more with time.
  */
-final class SimServer {
+final class SimServer implements Box {
     final String id;
     final String zone;
     final long startedAt;
@@ -55,11 +55,6 @@
         }
     }
 
-    /** Hears how an attempt ended. */
-    interface Reply {
-        void ended(Outcome outcome);
-    }
-
     SimServer(Clockwork clock, String id, String zone, long startedAt, double speed, int slots, int queue, double coldShare,
             long coldSpan) {
         this.clock = clock;
@@ -78,8 +73,14 @@
         return speed;
     }
 
-    /** {@code work}: nanoseconds of a core of the usual speed; {@code elsewhere}: what it waits on others. */
-    void take(double work, long elsewhere, Reply reply) {
+    @Override
+    public String zone() {
+        return zone;
+    }
+
+    /** {@code call.work()}: nanoseconds of a core of the usual speed. */
+    @Override
+    public void take(Call call, Reply reply) {
         if (silent) {
             return;
         }
@@ -90,7 +91,7 @@
         } else if (draining || full || held >= slots && waiting.size() >= queue) {
             reply.ended(Outcome.FULL);
         } else {
-            waiting.add(new Job(work, elsewhere, reply));
+            waiting.add(new Job(call.work(), call.elsewhere(), reply));
             begin();
         }
     }
--- a/lab/src/main/java/weldhitch/lab/site/Site.java
+++ b/lab/src/main/java/weldhitch/lab/site/Site.java
@@ -8,6 +8,7 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import weldhitch.decision.Balancing.*;
+import weldhitch.decision.Routes;
 import weldhitch.decision.Watch;
 import weldhitch.lab.scenario.Scenario;
 import weldhitch.lab.scenario.Scenario.*;
@@ -26,8 +27,9 @@
     private static final long DRAIN = 3 * SECOND;
 
     private final Scenario scenario;
+    private final Routes routes;
     private final long seed;
-    private final Clockwork clock = new Clockwork();
+    private final Clockwork clock = new Clockwork(1000 * SECOND);
     private final long start = clock.now();
     private final long end;
     private final Network network;
@@ -46,10 +48,17 @@
     private long names;
     private long asked;
 
+    /** Without routes. */
+    public Site(Scenario scenario, long seed, Tap tap) {
+        this(scenario, seed, null, tap);
+    }
+
     /**
+     * @param routes in force at every node from its start; null for none
      * @param tap told of all that the first node is told, or null
      */
-    public Site(Scenario scenario, long seed, Tap tap) {
+    public Site(Scenario scenario, long seed, Routes routes, Tap tap) {
+        this.routes = routes;
         this.scenario = scenario;
         this.seed = seed;
         end = start + scenario.length();
@@ -72,8 +81,8 @@
         double work = scenario.kinds().stream().mapToDouble(k -> k.share() / shares * k.work().mean() / SECOND).sum();
         perSecond = scenario.perSecond() > 0 ? scenario.perSecond() : scenario.load() * capacity / work;
         for (int i = 0; i < scenario.nodes(); i++) {
-            nodes.add(new SimNode(clock, network, servers, settings(i), new Causes(), i == 0 ? tap : null, this::sent));
-            nodes.get(i).start(placing.nextLong(), list());
+            nodes.add(new SimNode(clock, network, servers::get, settings(i), new Causes(), i == 0 ? tap : null, this::sent));
+            nodes.get(i).start(placing.nextLong(), routes, list());
         }
         deal();
         scenario.troubles().forEach(this::plan);
@@ -234,7 +243,7 @@
         long ends = Math.max(awayFor, DRAIN + 500 * MS);
         clock.after(Math.min(awayFor, DRAIN + 500 * MS), node::stop);
         clock.after(ends + MS, () -> {
-            node.start(placing.nextLong(), list());
+            node.start(placing.nextLong(), routes, list());
             deal();
         });
     }
@@ -349,7 +358,9 @@
             boolean safe = kind.about().effect() == Effect.SAFE;
             long until = safe ? Math.min(deadline, clock.now() + (long) (scenario.tryShare() * kind.about().deadline())) : deadline;
             int thisTry = tries;
-            node.ask(id, kind.about(), work, elsewhere, until, thisTry > 1, (how, retryAfter) -> {
+            Arrival arrival = new Arrival(id, kind.about().name(), until, null, 0, thisTry > 1, safe ? "GET" : "POST",
+                "/" + kind.about().name());
+            node.ask(arrival, kind.about().effect() == Effect.UNSAFE, new Call(kind.about().name(), work, elsewhere), (how, retryAfter) -> {
                 Watch.Why why = whys.remove(id);
                 if (how != Answered.SERVED) {
                     figures.causes.merge((how == Answered.REFUSED ? "refused: " : "failed: ") + (why == null ? "unknown"
--- a/lab/src/test/java/weldhitch/lab/LabTest.java
+++ b/lab/src/test/java/weldhitch/lab/LabTest.java
@@ -136,10 +136,10 @@
             new Report("b", seed, play(slower, seed)).write(directory.resolve("b"));
         }
         Comparison.Change same = median(Comparison.of(directory.resolve("a"), directory.resolve("a"), 0.95));
-        assertFalse(same.differs());
+        assertFalse(same.is().differs());
         Comparison.Change change = median(Comparison.of(directory.resolve("a"), directory.resolve("b"), 0.95));
-        assertEquals(6, change.seeds());
-        assertTrue(change.low() > 20 && change.high() < 120, change.toString());
+        assertEquals(6, change.is().seeds());
+        assertTrue(change.is().low() > 20 && change.is().high() < 120, change.toString());
         assertThrows(IOException.class, () -> Comparison.of(directory.resolve("a"), directory, 0.95));
     }
 
--- a/replay/src/main/java/weldhitch/replay/Player.java
+++ b/replay/src/main/java/weldhitch/replay/Player.java
@@ -8,7 +8,9 @@
 import weldhitch.capture.format.Documents;
 import weldhitch.capture.format.Entry;
 import weldhitch.decision.Balancing.Action;
+import weldhitch.decision.Balancing.NewRoutes;
 import weldhitch.decision.RatioBalancer;
+import weldhitch.decision.Routes;
 import weldhitch.decision.Snapshot;
 import weldhitch.decision.Watch;
 
@@ -48,7 +50,10 @@
     }
 
     private final Watch watch;
-    private final boolean restoreAtEach;
+    private boolean restoreAtEach;
+    /** Whether the captured routes are left out, for these. */
+    private boolean otherRoutes;
+    private Routes routes;
     private final List<Listener> listeners;
     private final List<Difference> differences = new ArrayList<>();
     private RatioBalancer module;
@@ -63,6 +68,7 @@
     private long firstAt = Long.MAX_VALUE;
     private long lastAt = Long.MIN_VALUE;
     private boolean done;
+    private long from = 1;
     private long until = Long.MAX_VALUE;
     private long untilTime = Long.MAX_VALUE;
 
@@ -76,6 +82,12 @@
         this.listeners = List.of(listeners);
     }
 
+    /** Begins at this snapshot, counted from 1. */
+    public Player from(long snapshot) {
+        from = snapshot;
+        return this;
+    }
+
     /** Plays no event after this one, counted from 1, and none of a later time (nanoseconds). */
     public Player until(long number, long time) {
         until = number;
@@ -83,6 +95,17 @@
         return this;
     }
 
+    /**
+     * Plays by these routes (none where null) in place of the captured ones, anew from each snapshot, so that each stretch
+     * tells where decisions first part. What was under way at a snapshot keeps its rules.
+     */
+    public Player under(Routes others) {
+        otherRoutes = true;
+        restoreAtEach = true;
+        routes = others;
+        return this;
+    }
+
     @Override
     public void accept(Entry entry) {
         if (entry instanceof Entry.Told told) {
@@ -102,7 +125,9 @@
     }
 
     private void known(Entry.Known known) {
-        snapshots++;
+        if (++snapshots < from) {
+            return;
+        }
         missed += known.missed() == null ? 0 : known.missed().events();
         boolean follows = module != null && known.missed() == null && known.run().equals(run);
         if (follows && !restoreAtEach) {
@@ -118,6 +143,9 @@
             run = known.run();
             try {
                 module = RatioBalancer.restore(known.settings(), known.snapshot(), watch);
+                if (otherRoutes) {
+                    module.handle(known.now(), new NewRoutes(routes));
+                }
             } catch (IllegalArgumentException e) {
                 module = null;
                 differ(known.now(), null, List.of(), "a snapshot is refused: " + e.getMessage());
@@ -133,6 +161,9 @@
             return;
         }
         events++;
+        if (otherRoutes && told.event() instanceof NewRoutes) {
+            return;
+        }
         firstAt = Math.min(firstAt, told.now());
         lastAt = Math.max(lastAt, told.now());
         listeners.forEach(l -> l.playing(told));
--- a/replay/src/main/java/weldhitch/replay/Summary.java
+++ b/replay/src/main/java/weldhitch/replay/Summary.java
@@ -17,7 +17,7 @@
  */
 public final class Summary implements Watch, Player.Listener {
     /** Latencies up to ten minutes, in microseconds, to two digits. */
-    private static final long LONGEST_US = 600_000_000L;
+    public static final long LONGEST_US = 600_000_000L;
 
     /** How requests ended. {@code causes}: of those refused or failed. */
     public static final class Counts {
@@ -30,6 +30,18 @@
         public long sends;
         public final Map<String, Long> causes = new TreeMap<>();
 
+        /** Counts these too. */
+        public void add(Counts other) {
+            arrived += other.arrived;
+            served += other.served;
+            late += other.late;
+            refused += other.refused;
+            failed += other.failed;
+            gone += other.gone;
+            sends += other.sends;
+            other.causes.forEach((cause, count) -> causes.merge(cause, count, Long::sum));
+        }
+
         private void cause(Why why, String kind) {
             causes.merge(kind + ": " + (why == null ? "unknown" : why.name().toLowerCase(Locale.ROOT).replace('_', ' ')), 1L, Long::sum);
         }
@@ -56,6 +68,8 @@
     private final Map<String, Long> aims = new LinkedHashMap<>();
     public final Map<String, Counts> classes = new TreeMap<>();
     public final Map<String, Server> servers = new TreeMap<>();
+    /** Microseconds from arrival to answer of those served, by class. */
+    public final Map<String, Histogram> answers = new TreeMap<>();
     /** By the start of each span, milliseconds since the first event. */
     public final Map<Long, Counts> spans = new TreeMap<>();
     public final List<String> damages = new ArrayList<>();
@@ -145,6 +159,8 @@
         if (held != null) {
             long aim = aims.getOrDefault(held.requestClass, 0L);
             boolean late = aim > 0 && at - held.arrivedAt > aim;
+            answers.computeIfAbsent(String.valueOf(held.requestClass), c -> new Histogram(LONGEST_US, 2))
+                .recordValue(Math.max(0, Math.min(LONGEST_US, (at - held.arrivedAt) / 1000)));
             end(request, (c, why) -> {
                 c.served += late ? 0 : 1;
                 c.late += late ? 1 : 0;
--- a/replay/src/test/java/weldhitch/replay/ReplayTest.java
+++ b/replay/src/test/java/weldhitch/replay/ReplayTest.java
@@ -13,6 +13,8 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiFunction;
+import java.util.stream.LongStream;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -23,6 +25,8 @@
 import weldhitch.capture.format.Entry;
 import weldhitch.capture.policy.Missed;
 import weldhitch.decision.Balancing.*;
+import weldhitch.decision.RatioBalancer;
+import weldhitch.decision.Workload;
 import weldhitch.testkit.Tests;
 
 class ReplayTest {
@@ -68,6 +72,49 @@
         assertEquals(Documents.tree(through.snapshot()), Documents.tree(anew.snapshot()));
     }
 
+    /** A timer and an arrival of one instant, in either order: each is played in the order that it was told. */
+    @Test
+    void aTimerDueAtTheInstantOfAnArrivalIsPlayedInItsPlace() throws IOException {
+        Set<String> outcomes = new TreeSet<>();
+        for (boolean timerFirst : new boolean[] {true, false}) {
+            Workload workload = LongStream.iterate(1, s -> s + 1).mapToObj(Workload::new)
+                .filter(w -> w.settings.tier() == 0 && w.settings.classes().get(0).aim() > 0).findFirst().orElseThrow();
+            RatioBalancer module = new RatioBalancer(workload.settings, 5);
+            List<Entry> entries = new ArrayList<>();
+            entries.add(new Entry.Known(workload.now(), "n1", "run", "test", workload.settings, module.snapshot(), null));
+            List<Entry.Told> told = new ArrayList<>();
+            BiFunction<Long, Event, List<Action>> tell = (now, event) -> {
+                List<Action> actions = module.handle(now, event);
+                told.add(new Entry.Told(now, event, actions));
+                return actions;
+            };
+            long now = workload.now();
+            String about = workload.settings.classes().get(0).name();
+            tell.apply(now, new Membership(ListKind.ALL, List.of(new ServerEntry("a", workload.settings.zone(), 0, ServerState.READY, 1, 0))));
+            // More than the limit lets in: some wait, and a timer is asked for.
+            long due = Long.MAX_VALUE;
+            for (int i = 0; i < 200; i++) {
+                for (Action action : tell.apply(now, new Arrival("r" + i, about, now + 1_000_000_000L, null, 0, false))) {
+                    due = action instanceof SetTimer timer ? Math.min(due, now + timer.after()) : due;
+                }
+            }
+            assertTrue(due < Long.MAX_VALUE, "no timer");
+            Arrival late = new Arrival("late", about, due + 1_000_000_000L, null, 0, false);
+            List<Event> both = timerFirst ? List.of(new Timer("due"), late) : List.of(late, new Timer("due"));
+            for (Event each : both) {
+                tell.apply(due, each);
+            }
+            entries.addAll(told);
+            outcomes.add(told.subList(told.size() - 2, told.size()).stream().map(Entry.Told::actions).toList().toString());
+            Path file = Recorded.write(Files.createDirectory(directory.resolve(String.valueOf(timerFirst))), entries);
+            Player player = read(file);
+            assertEquals(List.of(), player.differences());
+            assertEquals(told.size(), player.events());
+            assertEquals(Documents.tree(module.snapshot()), Documents.tree(player.snapshot()));
+        }
+        assertEquals(2, outcomes.size(), "the order made no difference, so nothing was shown: " + outcomes);
+    }
+
     @Test
     void aDecisionThatDiffersIsFoundAtItsEventWithBothSides() {
         List<Entry> entries = Recorded.entries(5, 2000, 1000);
