--- a/lab/src/main/java/weldhitch/lab/whatif/Rerun.java
+++ b/lab/src/main/java/weldhitch/lab/whatif/Rerun.java
@@ -167,7 +167,9 @@
     private void again(Open request, boolean refused) {
         Arrival a = request.arrival;
         unserved.add(a.requestClass(), clock.now());
-        if (usual == null || unserved.lately(a.requestClass(), clock.now()) <= usual.lately(a.requestClass(), clock.now())) {
+        int now = unserved.lately(a.requestClass(), clock.now());
+        // Those beyond the usual number bring retries of their own; the others' are captured.
+        if (usual == null || request.own.nextDouble() * now >= now - usual.lately(a.requestClass(), clock.now())) {
             return;
         }
         long[] next = callers.next(a.requestClass(), refused, request.tries, a.deadline() - clock.now(), request.own);
