--- /dev/null
+++ b/client/src/main/java/weldhitch/client/Connection.java
@@ -0,0 +1,125 @@
+package weldhitch.client;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import java.time.Instant;
+import weldhitch.client.policy.Outcome;
+
+/**
+ * One connection to a node, with one try on it at a time. It tells its owner once how each try ended, and when it can take
+ * another or is gone.
+ */
+final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+    /** Who opened it. */
+    interface Owner {
+        void idle(Connection connection);
+
+        /** @param farewell whether the node said that it would close it */
+        void gone(Connection connection, boolean farewell);
+    }
+
+    /** Hears once how a try ended; {@code body} where it was answered. */
+    interface Listener {
+        void ended(Outcome outcome, long retryAfterNanos, byte[] body);
+    }
+
+    final String node;
+    private final Owner owner;
+    private Channel channel;
+    private Listener listener;
+    private boolean written;
+    private boolean used;
+    private boolean farewell;
+
+    Connection(String node, Owner owner) {
+        this.node = node;
+        this.owner = owner;
+    }
+
+    /** Sends a try; it takes the request over. */
+    void send(FullHttpRequest request, Listener to) {
+        listener = to;
+        written = false;
+        channel.writeAndFlush(request).addListener(done -> {
+            if (done.isSuccess()) {
+                written = listener == to;
+            } else if (listener == to) {
+                channel.close();
+            }
+        });
+    }
+
+    /** Nobody waits for its try any more: what comes on it could not be told from the next answer. */
+    void giveUp() {
+        listener = null;
+        channel.close();
+    }
+
+    void close() {
+        channel.close();
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext ctx) {
+        channel = ctx.channel();
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+        if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL && response.status().code() != 101) {
+            return;
+        }
+        if (listener == null || !written || response.decoderResult().isFailure()) {
+            // Nobody asked, or it can't be read: whatever this belongs to, nothing more is learned here.
+            end(Outcome.BROKEN, 0, null);
+            channel.close();
+            return;
+        }
+        boolean keep = HttpUtil.isKeepAlive(response);
+        farewell |= !keep;
+        int status = response.status().code();
+        byte[] body = null;
+        if (status == 200) {
+            body = new byte[response.content().readableBytes()];
+            response.content().readBytes(body);
+        }
+        long retryAfter = RetryAfter.nanos(response.headers().get(HttpHeaderNames.RETRY_AFTER), Instant.now());
+        used = true;
+        Outcome outcome = status == 200 ? Outcome.ANSWERED : status == 429 || status == 503 ? Outcome.REFUSED : Outcome.FAILED;
+        if (keep) {
+            Listener to = listener;
+            listener = null;
+            owner.idle(this);
+            to.ended(outcome, retryAfter, body);
+        } else {
+            channel.close();
+            end(outcome, retryAfter, body);
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        ctx.close();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        // What was not wholly written can't have run; what was may have, also where the connection had gone before.
+        end(!written ? Outcome.NOT_SENT : used ? Outcome.LOST : Outcome.BROKEN, 0, null);
+        owner.gone(this, farewell);
+    }
+
+    private void end(Outcome outcome, long retryAfter, byte[] body) {
+        Listener to = listener;
+        listener = null;
+        if (to != null) {
+            to.ended(outcome, retryAfter, body);
+        }
+    }
+}
