--- a/client/src/main/java/weldhitch/client/policy/ClientCore.java
+++ b/client/src/main/java/weldhitch/client/policy/ClientCore.java
@@ -277,7 +277,12 @@
                 node.alive();
                 accepted(node, call);
             }
-            case LOST -> { }
+            case LOST -> {
+                // An idle connection that had gone says little of its node, unless it was the probe's.
+                if (node.standing == NodeState.Standing.PROBED) {
+                    failed(node);
+                }
+            }
             case NOT_SENT, BROKEN -> failed(node);
         }
         if (!e.outcome().neverRan) {
--- a/client/src/test/java/weldhitch/client/policy/ClientCoreTest.java
+++ b/client/src/test/java/weldhitch/client/policy/ClientCoreTest.java
@@ -291,6 +291,26 @@
         assertEquals(2, desk.out.values().stream().filter(t -> t.node().equals("a:1")).count(), "a node that came back is flooded");
     }
 
+    /** However a probe ends, the node can be tried again after it. */
+    @Test
+    void noEndOfAProbeLeavesItsNodeUnasked() {
+        for (Outcome outcome : Outcome.values()) {
+            Desk desk = new Desk(PLAIN, 5, "a:1");
+            desk.tell(new Lost("a:1"));
+            desk.until(desk.now + S);
+            desk.start(1, Effect.UNSAFE, 100 * S);
+            desk.end(1, outcome, 0);
+            desk.until(desk.now + 50 * S);
+            if (desk.out.containsKey(1L)) {
+                // It was sent again, and a node that comes back is given one call at a time.
+                desk.end(1, Outcome.ANSWERED, 0);
+            }
+            desk.start(2, Effect.SAFE, 50 * S);
+            desk.until(desk.now + 40 * S);
+            assertTrue(desk.tries.stream().anyMatch(t -> t.call() == 2), outcome + ": never tried again");
+        }
+    }
+
     /** 2,000 clients lose their one node for 10 s; none may come back in the same moment as all the others. */
     @Test
     void thousandsComeBackSpreadOverTheLengthOfTheOutage() {
