--- a/client/src/main/java/weldhitch/client/Pool.java
+++ b/client/src/main/java/weldhitch/client/Pool.java
@@ -133,11 +133,6 @@
         }
     }
 
-    /** Connections that are up. */
-    int size() {
-        return all.size();
-    }
-
     /** Closes them all and takes nothing more. */
     void close() {
         closed = true;
