--- a/capture/src/main/java/weldhitch/capture/format/Documents.java
+++ b/capture/src/main/java/weldhitch/capture/format/Documents.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.dataformat.cbor.databind.CBORMapper;
 import java.io.IOException;
 import java.util.List;
@@ -48,13 +49,24 @@
     }
 
     static Entry.Known known(long now, byte[] content) throws CaptureFormatException {
-        KnownDocument read = read(content, new TypeReference<KnownDocument>() { });
+        ObjectNode document = read(content, new TypeReference<ObjectNode>() { });
+        if (document.get("snapshot") instanceof ObjectNode snapshot) {
+            upgrade(snapshot);
+        }
+        KnownDocument read = read(write(document), new TypeReference<KnownDocument>() { });
         if (read.settings == null || read.snapshot == null) {
             throw new CaptureFormatException("document: settings or snapshot: null, expected both");
         }
         return new Entry.Known(now, read.node, read.run, read.build, read.settings, read.snapshot, read.missed);
     }
 
+    /** Snapshots of form 1 did not know what warm servers carried: 0 stands for that. */
+    private static void upgrade(ObjectNode snapshot) {
+        if (snapshot.path("version").asInt() == 1) {
+            snapshot.put("version", 2).put("carried", 0.0).put("carriedAt", 0L);
+        }
+    }
+
     static byte[] routes(Routes routes) {
         return routes == null ? new byte[0] : write(routes.all());
     }
--- a/decision/src/main/java/weldhitch/decision/ClassUse.java
+++ b/decision/src/main/java/weldhitch/decision/ClassUse.java
@@ -8,8 +8,6 @@
  */
 final class ClassUse {
     static final double USUAL_STEP = 0.02;
-    /** An answer that took less than this share of a usual one is learned as having taken as much. */
-    private static final double LEAST_SHARE = 0.2;
 
     final RequestClass about;
     double trip;
@@ -24,12 +22,10 @@
     }
 
     void learn(double hint, double latency) {
-        // A fresh node learns all from its first answer: an odd one must not make thousands of usual trips of the next.
-        double least = LEAST_SHARE * usual(hint);
         double step = Math.max(USUAL_STEP, 1.0 / ++seen);
         deviation += step * (Math.abs(latency - usual(hint)) - deviation);
         double offCost = hint - cost;
-        double offTrip = Math.max(latency, least) - trip;
+        double offTrip = latency - trip;
         cost += step * offCost;
         trip += step * offTrip;
         costVariance += step * (offCost * offCost - costVariance);
