Notice a lost watch of the list sooner, and ask again within a second, spread out

Calls of all nodes, logged: each node loses one to three watches in 20 s; 1.3 to 9.0 s went by from a failure to the next list. Answers to sound watches came 12 to 117 ms after their wait; no call was refused as overbooked, no whole list was asked for.

Cause: Discovery gave a silent watch up 2.5 s past its wait, and reported any failure as REFUSED to the module, which waits 1 to 2 s, then 2 to 4 s (RatioBalancer.onMembership). 4.5 + 2 s is past the 6 s within which drains hold. The unasked path doubled without jitter. One unreadable answer asked for the whole list, though the one held was sound.

Change: ListCalls decides, without I/O: half a second of patience past the wait, doubled by silence and at least twice what the last answer took; then a wait drawn from 50 ms a node, doubling to a second at most; a bad answer is mended by the same call, the second one by the whole list. Discovery keeps sockets and form, in both modes.

Suspects cleared: retries in step, whole lists (docs/design/fleet.md).

--- a/node/src/main/java/weldhitch/node/Discovery.java
+++ b/node/src/main/java/weldhitch/node/Discovery.java
@@ -25,40 +25,40 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import weldhitch.decision.ListCalls;
+import weldhitch.decision.ListCalls.Failure;
 
 final class Discovery {
     private static final int WAIT_MS = 2000;
-    private static final int ANSWER_LATE_MS = 2500;
     private static final int CONNECT_MS = 1000;
     private static final int LARGEST_ANSWER = 2 << 20;
     /** Between calls that tell nothing and come back at once; within the 200 ms that a watch goes on. */
-    private static final int PAUSE_MS = 100;
-    private static final int LONGEST_RETRY_MS = 1000;
+    private static final long PAUSE = 100_000_000L;
 
     private final EventLoop loop;
     private final Bootstrap bootstrap;
     private InetSocketAddress address;
     private final boolean asked;
     private final Consumer<Roster> onList;
-    private final Runnable onRefused;
+    private final ListCalls calls;
     private Channel channel;
     private Future<?> timeout;
     private boolean calling;
     /** The next call, where it waits for its time. */
     private Future<?> planned;
     private long calledAt;
+    /** When the answer to the call at hand is due: at the end of the wait that it asks for. */
+    private long dueAt;
     private long seq;
-    private boolean lost;
     private boolean heard;
-    private int failures;
 
     Discovery(EventLoop loop, ByteBufAllocator allocator, InetSocketAddress address, boolean asked, long seq,
-            Consumer<Roster> onList, Runnable onRefused) {
+            ListCalls calls, Consumer<Roster> onList) {
         this.loop = loop;
         this.asked = asked;
         this.seq = seq;
         this.onList = onList;
-        this.onRefused = onRefused;
+        this.calls = calls;
         this.address = address;
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
             .option(ChannelOption.ALLOCATOR, allocator)
@@ -101,8 +101,7 @@
         }
         Log.line("discovery: moves to " + next);
         address = next;
-        lost = true;
-        failures = 0;
+        calls.moved();
         stopTimeout();
         if (planned != null) {
             planned.cancel(false);
@@ -131,7 +130,7 @@
         dial.addListener(f -> {
             if (!f.isSuccess()) {
                 dial.channel().close();
-                failed(dial.channel(), "cannot connect");
+                failed(dial.channel(), Failure.BROKEN, "cannot connect");
             } else if (channel == dial.channel()) {
                 write();
             }
@@ -140,39 +139,38 @@
 
     private void write() {
         // An agent answers the first call at once where it need not wait for news: the node is ready the sooner.
-        int wait = heard || asked ? WAIT_MS : 0;
-        String uri = "/v1/endpoints" + (lost ? "" : "?after=" + seq + "&wait_ms=" + wait);
+        int wait = calls.wantsWhole() || !heard && !asked ? 0 : WAIT_MS;
+        String uri = "/v1/endpoints" + (calls.wantsWhole() ? "" : "?after=" + seq + "&wait_ms=" + wait);
         DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri,
             Unpooled.EMPTY_BUFFER);
         request.headers().set(HttpHeaderNames.HOST,
             address.getAddress().getHostAddress() + ":" + address.getPort());
         Channel on = channel;
-        timeout = loop.schedule(() -> failed(on, "no answer"), WAIT_MS + ANSWER_LATE_MS, TimeUnit.MILLISECONDS);
+        long waits = TimeUnit.MILLISECONDS.toNanos(wait);
+        dueAt = System.nanoTime() + waits;
+        timeout = loop.schedule(() -> failed(on, Failure.SILENT, "no answer"), waits + calls.patience(),
+            TimeUnit.NANOSECONDS);
         on.writeAndFlush(request);
     }
 
-    /** Ends a call that brought nothing; what is held stays valid. */
-    private void failed(Channel on, String why) {
+    /** Ends a call that brought nothing; what is held stays valid, and is asked for again. */
+    private void failed(Channel on, Failure why, String seen) {
         if (!calling || on != channel) {
             return;
         }
-        calling = false;
         stopTimeout();
         channel = null;
         on.close();
-        if (failures++ == 0) {
-            Log.line("discovery: " + why);
-        }
-        if (asked) {
-            onRefused.run();
-        } else {
-            later(Math.min(LONGEST_RETRY_MS, PAUSE_MS << Math.min(4, failures - 1)));
+        long wait = calls.failed(why);
+        if (calls.failures() == 1) {
+            Log.line("discovery: " + seen);
         }
+        later(wait);
     }
 
-    private void later(int millis) {
+    private void later(long nanos) {
         calling = true;
-        planned = loop.schedule(this::call, millis, TimeUnit.MILLISECONDS);
+        planned = loop.schedule(this::call, nanos, TimeUnit.NANOSECONDS);
     }
 
     private void stopTimeout() {
@@ -187,30 +185,31 @@
             on.close();
             return;
         }
-        if (response.status().code() != 200 || response.decoderResult().isFailure()) {
-            failed(on, "answered " + response.status().code());
+        if (response.status().code() != 200) {
+            failed(on, Failure.REFUSED, "answered " + response.status().code());
+            return;
+        }
+        if (response.decoderResult().isFailure()) {
+            failed(on, Failure.BROKEN, "broke off its answer");
             return;
         }
         Roster roster;
         try {
             roster = Roster.parse(ByteBufUtil.getBytes(response.content()));
         } catch (IOException e) {
-            lost = true;
-            failed(on, "not a list");
+            failed(on, Failure.UNREADABLE, "not a list");
             return;
         }
-        if (!roster.whole() && (lost || roster.seq() < seq)) {
+        if (!roster.whole() && (calls.wantsWhole() || roster.seq() < seq)) {
             // Changes to a list that is not the one held say nothing; only a whole list does.
-            lost = true;
-            failed(on, "changes to a list that is not held");
+            failed(on, Failure.NOT_HELD, "changes to a list that is not held");
             return;
         }
         stopTimeout();
-        if (failures > 0) {
-            Log.line("discovery: answers again after " + failures + " failed calls");
+        if (calls.failures() > 0) {
+            Log.line("discovery: answers again after " + calls.failures() + " failed calls");
         }
-        failures = 0;
-        lost = false;
+        calls.answered(System.nanoTime() - dueAt);
         heard = true;
         seq = roster.seq();
         if (!HttpUtil.isKeepAlive(response)) {
@@ -219,8 +218,8 @@
         }
         onList.accept(roster);
         boolean idle = roster.hosts().isEmpty()
-            && System.nanoTime() - calledAt < TimeUnit.MILLISECONDS.toNanos(PAUSE_MS);
-        later(idle ? PAUSE_MS : 0);
+            && System.nanoTime() - calledAt < PAUSE;
+        later(idle ? PAUSE : 0);
     }
 
     private final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
@@ -232,7 +231,7 @@
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             if (timeout != null) {
-                failed(context.channel(), "connection broke");
+                failed(context.channel(), Failure.BROKEN, "connection broke");
             }
         }
 
--- a/node/src/main/java/weldhitch/node/Node.java
+++ b/node/src/main/java/weldhitch/node/Node.java
@@ -6,12 +6,12 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import weldhitch.decision.Balancing.ListKind;
 import weldhitch.decision.Balancing.Settings;
+import weldhitch.decision.ListCalls;
 import weldhitch.decision.RatioBalancer;
 import weldhitch.decision.Routes;
 
@@ -106,8 +106,8 @@
         servers = new ServerConnections(loop, allocator, clock, budget, dispatcher, config.keepalive(),
             config.settings().limits().connectTimeout());
         discovery = new Discovery(loop, allocator, config.discovery(), config.settings().mustAskMembership(),
-            config.known().seq(), roster -> apply(roster, roster.whole() ? ListKind.ALL : ListKind.CHANGES),
-            () -> dispatcher.membership(ListKind.REFUSED, List.of()));
+            config.known().seq(), new ListCalls(config.seed(), config.settings().siblings()),
+            roster -> apply(roster, roster.whole() ? ListKind.ALL : ListKind.CHANGES));
         dispatcher.connect(servers, discovery::subscribe);
         clients = new ClientServer(loop, allocator, clock, budget, dispatcher, config.settings(), this::ready);
         apply(config.known(), ListKind.REMEMBERED);
