Keep the list held where an older whole list comes

Cause: found on reading the change again. Change: what is older is no news in either form; a whole list that was asked for, after two bad answers or a move, is still taken as it comes. Test: failuresLeaveTheListInForce answers an older whole list that names no server and is served on; it fails without the change.

--- a/decision/src/main/java/weldhitch/decision/ListCalls.java
+++ b/decision/src/main/java/weldhitch/decision/ListCalls.java
@@ -57,7 +57,7 @@
         return failures;
     }
 
-    /** A call brought nothing. Returns how long to wait before the next: 0 to a second, never the same in two nodes. */
+    /** A call brought nothing. Returns how long to wait before the next: 0 to a second, drawn by chance. */
     public long failed(Failure why) {
         failures++;
         if (why == Failure.UNREADABLE || why == Failure.NOT_HELD) {
--- a/node/src/main/java/weldhitch/node/Discovery.java
+++ b/node/src/main/java/weldhitch/node/Discovery.java
@@ -200,9 +200,9 @@
             failed(on, Failure.UNREADABLE, "not a list");
             return;
         }
-        if (!roster.whole() && (calls.wantsWhole() || roster.seq() < seq)) {
-            // Changes to a list that is not the one held say nothing; only a whole list does.
-            failed(on, Failure.NOT_HELD, "changes to a list that is not held");
+        if (calls.wantsWhole() ? !roster.whole() : roster.seq() < seq) {
+            // What is older than the list held, or changes to another one, says nothing; only a whole list asked for does.
+            failed(on, Failure.NOT_HELD, "a list older than the one held, or changes to another one");
             return;
         }
         stopTimeout();
--- a/node/src/test/java/weldhitch/node/DiscoveryTest.java
+++ b/node/src/test/java/weldhitch/node/DiscoveryTest.java
@@ -118,10 +118,11 @@
             assertEquals(GET_ALL, calls.next());
             servedBy(h, "1", "a");
             calls.list(4, true, host("a", a.address()));
-            for (int i = 0; i < 2; i++) {
-                assertTrue(calls.next().contains("after=4&"));
-                calls.list(2, false, "");
-            }
+            // Neither changes nor a whole list that are older wipe what is held, though the whole one names no server.
+            assertTrue(calls.next().contains("after=4&"));
+            calls.list(2, false, "");
+            assertTrue(calls.next().contains("after=4&"));
+            calls.list(3, true, "");
             assertEquals(GET_ALL, calls.next());
             servedBy(h, "2", "a");
         }
