--- a/decision/src/test/java/weldhitch/decision/DrainPlanTest.java
+++ b/decision/src/test/java/weldhitch/decision/DrainPlanTest.java
@@ -75,6 +75,25 @@
         assertTrue(plan.over(at(3550)));
     }
 
+    /** Deadlines of 14 s do not move the platform's kill, which waits for 3 s of them and 0.7 s more. */
+    @Test
+    void isOverBeforeTheKillHoweverLongDeadlinesAre() {
+        DrainPlan slow = new DrainPlan(13_967 * MILLI, 5587 * MILLI);
+        slow.begin(TOLD);
+        assertTrue(slow.over(at(3550)));
+        for (long t = 0; t <= 3700; t += 10) {
+            long time = slow.timeFor(at(t), 6981 * MILLI, 2793 * MILLI);
+            assertTrue(time == 0 || t + time / MILLI <= 3500, time / MILLI + " ms given " + t + " ms after the word to end");
+        }
+        assertEquals(3500 * MILLI, slow.timeFor(at(0), 13_967 * MILLI, 5587 * MILLI), "an aim past the kill is no reason to refuse");
+        assertEquals(1500 * MILLI, slow.timeFor(at(2000), 6981 * MILLI, 2793 * MILLI));
+        assertEquals(0, slow.timeFor(at(2001), 6981 * MILLI, 2793 * MILLI));
+        assertTrue(slow.listens(at(1599), at(1590), 9));
+        assertFalse(slow.saysClose(at(1599)));
+        assertTrue(slow.saysClose(at(1600)));
+        assertEquals(0, slow.keepsIdle(at(2000), 9), "all are told to go half a wait before the end");
+    }
+
     @Test
     void aSecondWordToEndChangesNothing() {
         plan.begin(TOLD);
