Answer at the planned end what was taken before it and waits past the kill

Lines at fault: ClientServer.drainStep waits for Dispatcher.unanswered() and nothing ever cuts it.

Change: once the plan is over (3.55 s after SIGTERM) all that waits is answered as failed (504: it may have run, so it is not refused), and the process ends by itself. DrainTest fails without it: the answer came after its 8 s.

--- a/node/src/main/java/weldhitch/node/Dispatcher.java
+++ b/node/src/main/java/weldhitch/node/Dispatcher.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -138,13 +139,26 @@
     private void overdue(Exchange x) {
         if (!x.over) {
             Log.line("request " + x.request.id() + " was left unanswered until its deadline");
-            finish(x);
+            giveUp(x);
+        }
+    }
+
+    /** Answers as failed, over the module's head. */
+    private void giveUp(Exchange x) {
+        if (finish(x)) {
             x.caller.failed(true);
             tell(new ClientGone(x.request.id()));
             forget(x);
         }
     }
 
+    /** Answers all that still waits as failed: the process ends, and nobody can answer it after that. */
+    void endAll() {
+        for (Exchange x : new ArrayList<>(exchanges.values())) {
+            giveUp(x);
+        }
+    }
+
     private void expire(Attempt attempt) {
         if (!attempt.ended) {
             // What has its last byte still here has not begun anywhere, and may be refused instead of failed.
--- a/node/src/test/java/weldhitch/node/DrainTest.java
+++ b/node/src/test/java/weldhitch/node/DrainTest.java
@@ -9,6 +9,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 import weldhitch.testkit.Message;
 import weldhitch.testkit.Peer;
 import weldhitch.testkit.Wire;
@@ -90,6 +91,32 @@
         }
     }
 
+    /** Its deadline is 8 s, and the platform kills 3.7 s after the word: a reset would be all the caller gets. */
+    @Test
+    void answersWhatWasTakenBeforeTheWordAndWaitsPastTheKill() throws Exception {
+        CountDownLatch asked = new CountDownLatch(1);
+        AtomicInteger heads = new AtomicInteger();
+        Peer silent = new Peer(wire -> {
+            while (wire.head() != null) {
+                heads.incrementAndGet();
+                asked.countDown();
+            }
+        });
+        try (Harness h = Harness.start(silent); Wire waits = h.client()) {
+            waits.write(post("1", "b"));
+            asked.await();
+            long told = System.nanoTime();
+            Thread drain = Tests.daemon(h.node::drain);
+            Message m = waits.message();
+            assertEquals(504, m.status(), "not known not to have run, so not refused");
+            assertTrue(System.nanoTime() - told < 7_000_000_000L, "only by its own deadline");
+            assertTrue(waits.ends());
+            drain.join(Tests.WAIT_S * 1000L);
+            assertTrue(!drain.isAlive(), "the node does not end by itself");
+            assertEquals(1, heads.get(), "written once");
+        }
+    }
+
     /** A client that never closes its side kept the node for 2 s more, past the time at which the platform kills it. */
     @Test
     void endsOnceEveryDeadlineHasPassedThoughAClientDoesNotClose() throws Exception {
