Show that 1 to 200 nodes together keep the rule on cold servers

Need: the suspect that credits of N nodes add up past the rule (Upstreams.apply, Upstream.credit) was to be measured. Ruled out: fleets of modules in virtual time, 1 to 200 nodes of uneven traffic at two thirds of capacity, one, half and all of ten servers replaced, with and without half of the nodes restarted in the midst.

--- /dev/null
+++ b/decision/src/test/java/weldhitch/decision/ColdFleetTest.java
@@ -0,0 +1,154 @@
+package weldhitch.decision;
+
+import static weldhitch.decision.Node.MS;
+import static weldhitch.decision.Node.SECOND;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.TreeSet;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import weldhitch.decision.Balancing.*;
+
+/**
+ * The rule on cold servers is one on the sum of all nodes' calls. A fleet of modules in virtual time, with little and
+ * uneven traffic at each, replaces servers; no cold one may ever be sent more in the rule's span than its multiple of
+ * what it can do at that moment. Servers answer all in 100 ms, so nothing but the modules keeps calls from them.
+ */
+class ColdFleetTest {
+    private static final int SERVERS = 10;
+    /** Calls a second that a warm server can do. */
+    private static final double CAPACITY = 10;
+    private static final long LATENCY = 100 * MS;
+    private static final Rules RULES = new Rules(0.2, 10 * SECOND, 3, 2 * SECOND, SECOND, 10 * MS, 10 * SECOND);
+
+    private record Due(long at, long number, Runnable what) { }
+
+    private final PriorityQueue<Due> due = new PriorityQueue<>((a, b) ->
+        a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.number, b.number));
+    private final Map<String, ArrayDeque<Long>> coldCalls = new HashMap<>();
+    private final Map<String, Long> born = new HashMap<>();
+    private final Random random;
+    private RatioBalancer[] nodes;
+    private long now = 100 * SECOND;
+    private long events;
+    private int cold;
+    private double worst;
+
+    ColdFleetTest() {
+        random = new Random(4711);
+    }
+
+    private void at(long time, Runnable what) {
+        due.add(new Due(time, events++, what));
+    }
+
+    private RatioBalancer node(int self, int siblings) {
+        RequestClass read = Node.requestClass("read", Effect.SAFE, KeyGroup.ALL);
+        Limits limits = new Limits(4, true, true, false, true, SECOND, 100 * MS);
+        return new RatioBalancer(new Settings("east", List.of("east", "west"), 1, self, siblings, List.of(read), List.of(),
+            1, false, false, Weights.NONE, List.of(), 0, 2 * MS, limits, RULES), random.nextLong());
+    }
+
+    private Membership list(ListKind kind) {
+        List<ServerEntry> entries = new ArrayList<>();
+        for (String id : new TreeSet<>(born.keySet())) {
+            entries.add(new ServerEntry(id, "east", id.charAt(0), ServerState.READY, 1, born.get(id)));
+        }
+        return new Membership(kind, entries);
+    }
+
+    private void tell(int node, Event event) {
+        RatioBalancer module = nodes[node];
+        for (Action action : module.handle(now, event)) {
+            if (action instanceof Send send) {
+                called(send.server());
+                String server = send.server();
+                at(now + LATENCY, () -> {
+                    if (nodes[node] == module) {
+                        tell(node, new AttemptEnded(send.request(), 0, server, Outcome.OK, LATENCY, true, null));
+                    }
+                });
+            } else if (action instanceof SetTimer timer) {
+                at(now + timer.after(), () -> {
+                    if (nodes[node] == module) {
+                        tell(node, new Timer(timer.token()));
+                    }
+                });
+            }
+        }
+    }
+
+    private void called(String server) {
+        long age = now - born.get(server);
+        if (born.get(server) == 0 || age >= RULES.coldSpan()) {
+            return;
+        }
+        cold++;
+        ArrayDeque<Long> calls = coldCalls.computeIfAbsent(server, s -> new ArrayDeque<>());
+        calls.addLast(now);
+        while (now - calls.peekFirst() > RULES.fallSpan()) {
+            calls.removeFirst();
+        }
+        double present = CAPACITY * (RULES.startCapacity() + (1 - RULES.startCapacity()) * age / RULES.coldSpan());
+        worst = Math.max(worst, calls.size() / (RULES.fallMultiple() * present * RULES.fallSpan() / 1e9));
+    }
+
+    /** Traffic is uneven: the node that is asked most gets seven times what the quietest one does. */
+    private int asked(int siblings) {
+        int node;
+        do {
+            node = random.nextInt(siblings);
+        } while (random.nextDouble() * 7 > 1 + node % 7);
+        return node;
+    }
+
+    private void arrivals(long until, double perSecond, int siblings) {
+        if (now < until) {
+            tell(asked(siblings), new Arrival("r" + events, "read", now + 2 * SECOND, null, 0, false));
+            at(now + (long) (-Math.log(1 - random.nextDouble()) * 1e9 / perSecond),
+                () -> arrivals(until, perSecond, siblings));
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"1, 1, false", "1, 5, false", "1, 10, false", "2, 5, true", "14, 10, false", "40, 1, false", "40, 5, false",
+        "40, 10, false", "40, 5, true", "40, 10, true", "200, 1, false", "200, 5, false", "200, 10, false", "200, 10, true"})
+    void allNodesTogetherStayWithinTheRule(int siblings, int replaced, boolean restart) {
+        nodes = new RatioBalancer[siblings];
+        for (int i = 0; i < SERVERS; i++) {
+            born.put("w" + i, 0L);
+        }
+        for (int i = 0; i < siblings; i++) {
+            nodes[i] = node(i, siblings);
+            tell(i, list(ListKind.REMEMBERED));
+        }
+        long replacedAt = now + 15 * SECOND;
+        at(replacedAt, () -> {
+            for (int i = 0; i < replaced; i++) {
+                born.remove("w" + i);
+                born.put("c" + i, now);
+            }
+            for (int i = 0; i < siblings; i++) {
+                if (restart && i % 2 == 0) {
+                    nodes[i] = node(i, siblings);
+                }
+                tell(i, list(ListKind.ALL));
+            }
+        });
+        // Two thirds of what all servers can do when they are warm.
+        arrivals(replacedAt + 12 * SECOND, 0.67 * SERVERS * CAPACITY, siblings);
+        for (Due next = due.poll(); next != null && next.at < replacedAt + 20 * SECOND; next = due.poll()) {
+            now = next.at;
+            next.what.run();
+        }
+        assertTrue(cold > 0, "cold servers were sent nothing");
+        assertTrue(worst < 1, siblings + " nodes sent a cold server " + worst + " of what the rule allows");
+    }
+}
