Let unsafe requests reuse connections as old as safe ones show to be good, up to half

Lines at fault: ServerConnections.send took only connections idle for under FRESH, 100 ms, for what is unsafe, and closed the older ones; a node of a large fleet meets each server more seldom.

Change: ReuseTrust (decision, no I/O) trusts half of the longest idle time answered on in the last 10 s, and nothing for 10 s after a break, as before.

--- a/node/src/main/java/weldhitch/node/ServerConnection.java
+++ b/node/src/main/java/weldhitch/node/ServerConnection.java
@@ -30,6 +30,9 @@
 
         void closed(ServerConnection connection);
 
+        /** A connection that had stood idle for so many nanoseconds carried a request and brought an answer. */
+        void answeredOnReuse(long idle);
+
         /** A connection that had been used before broke as soon as it was used again. */
         void brokenOnReuse();
     }
@@ -205,6 +208,9 @@
             interim = true;
             return;
         }
+        if (uses > 1 && !answering) {
+            owner.answeredOnReuse(startedAt - idleSince);
+        }
         answering = true;
         reusable = HttpUtil.isKeepAlive(response);
         if (status == 200) {
--- a/node/src/main/java/weldhitch/node/ServerConnections.java
+++ b/node/src/main/java/weldhitch/node/ServerConnections.java
@@ -22,11 +22,10 @@
 import weldhitch.decision.Balancing.Effect;
 import weldhitch.decision.Balancing.Outcome;
 import weldhitch.decision.Balancing.ServerState;
+import weldhitch.decision.ReuseTrust;
 
 final class ServerConnections implements ServerConnection.Owner {
     private static final double IDLE_SHARE = 0.7;
-    static final long FRESH = 100_000_000L;
-    private static final long WARY = 10_000_000_000L;
     private static final int MOST_IDLE = 16;
     private static final long SWEEP_MS = 250;
 
@@ -39,7 +38,7 @@
     private final Set<ServerConnection> open = new HashSet<>();
     /** Dials under way and connections that are open. */
     private int descriptors;
-    private long waryUntil;
+    private final ReuseTrust trust = new ReuseTrust();
 
     /** A server as this node reaches it. */
     private static final class Peer {
@@ -118,7 +117,7 @@
         long now = clock.now();
         long oldest = mostIdle;
         if (attempt.request.requestClass().effect() != Effect.SAFE) {
-            oldest = now < waryUntil ? 0 : FRESH;
+            oldest = Math.min(oldest, trust.longestIdle(now));
         }
         for (ServerConnection c = peer.idle.pollFirst(); c != null; c = peer.idle.pollFirst()) {
             if (c.usable() && now - c.idleSince < oldest) {
@@ -165,9 +164,14 @@
 
     // ---- the pool ----
 
+    @Override
+    public void answeredOnReuse(long idle) {
+        trust.answered(idle, clock.now());
+    }
+
     @Override
     public void brokenOnReuse() {
-        waryUntil = clock.now() + WARY;
+        trust.broke(clock.now());
     }
 
     @Override
--- a/node/src/test/java/weldhitch/node/OutcomeTest.java
+++ b/node/src/test/java/weldhitch/node/OutcomeTest.java
@@ -11,6 +11,7 @@
 import java.net.ServerSocket;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import weldhitch.decision.ReuseTrust;
 import weldhitch.testkit.Message;
 import weldhitch.testkit.Peer;
 import weldhitch.testkit.Wire;
@@ -214,13 +215,29 @@
         try (Harness h = Harness.start(server)) {
             h.ask(post("e1", "x"));
             server.connection();
-            TimeUnit.NANOSECONDS.sleep(2 * ServerConnections.FRESH);
+            TimeUnit.NANOSECONDS.sleep(2 * ReuseTrust.FRESH);
             h.ask(post("e2", "x"));
             server.connection();
             assertEquals(2, server.requests.size());
         }
     }
 
+    /** Nodes of a large fleet meet each server so seldom that they dialled for nearly each booking. */
+    @Test
+    void unsafeRequestUsesAnIdleConnectionOnceSafeOnesWereAnsweredOnOlderOnes() throws Exception {
+        Peer server = Peer.answering(m -> ok("x"));
+        try (Harness h = Harness.start(server)) {
+            h.ask(get("s1"));
+            TimeUnit.NANOSECONDS.sleep(20 * ReuseTrust.FRESH);
+            h.ask(get("s2"));
+            TimeUnit.NANOSECONDS.sleep(2 * ReuseTrust.FRESH);
+            h.ask(post("s3", "x"));
+            server.connection();
+            assertTrue(server.connections.isEmpty(), "dialled beside a connection that is known to be good");
+            assertEquals(3, server.requests.size());
+        }
+    }
+
     @Test
     void safeRequestUsesAnIdleConnectionAgain() throws Exception {
         Peer server = Peer.answering(m -> ok("x"));
