Refuse at the planned end what was never sent, and let nothing in as the rest leaves

Need: read again, the answers at the planned end had two faults. Each request that left made room in the module for one that waits, which was sent and given up in the same instant; and what no server ever got was answered as failed, though it is known not to have run.

Change: Dispatcher.answerAll answers all first and tells the module then, by when nothing of them is sent any more (Dispatcher.send asks whether a request is over); with no attempt it is a refusal. The three places that tell the module a caller has left are one. DrainTest fails without it (504 for 503).

--- a/node/src/main/java/weldhitch/node/ClientServer.java
+++ b/node/src/main/java/weldhitch/node/ClientServer.java
@@ -205,7 +205,7 @@
             }
         }
         if (end.over(now)) {
-            dispatcher.endAll();
+            dispatcher.answerAll();
             for (ClientConnection c : open.toArray(new ClientConnection[0])) {
                 c.lingerNoLonger();
             }
--- a/node/src/main/java/weldhitch/node/Dispatcher.java
+++ b/node/src/main/java/weldhitch/node/Dispatcher.java
@@ -95,11 +95,16 @@
 
     void clientGone(Exchange x) {
         if (finish(x)) {
-            tell(new ClientGone(x.request.id()));
-            forget(x);
+            leave(x);
         }
     }
 
+    /** Its answer is given, or is no longer wanted: the module stops work on it. */
+    private void leave(Exchange x) {
+        tell(new ClientGone(x.request.id()));
+        forget(x);
+    }
+
     /** From here on the client has its final answer. */
     @Override
     public StreamSink streamBegins(Attempt attempt) {
@@ -137,26 +142,31 @@
     }
 
     private void overdue(Exchange x) {
-        if (!x.over) {
-            Log.line("request " + x.request.id() + " was left unanswered until its deadline");
-            giveUp(x);
-        }
-    }
-
-    /** Answers as failed, over the module's head. */
-    private void giveUp(Exchange x) {
         if (finish(x)) {
+            Log.line("request " + x.request.id() + " was left unanswered until its deadline");
             x.caller.failed(true);
-            tell(new ClientGone(x.request.id()));
-            forget(x);
+            leave(x);
         }
     }
 
-    /** Answers all that still waits as failed: the process ends, and nobody can answer it after that. */
-    void endAll() {
-        for (Exchange x : new ArrayList<>(exchanges.values())) {
-            giveUp(x);
+    /**
+     * Answers all that waits, as the process ends and nobody can after that: refused where nothing of it was sent,
+     * failed elsewhere.
+     */
+    void answerAll() {
+        List<Exchange> answered = new ArrayList<>();
+        for (Exchange x : exchanges.values()) {
+            if (finish(x)) {
+                answered.add(x);
+                if (x.attempts.isEmpty()) {
+                    x.caller.refused(0);
+                } else {
+                    x.caller.failed(true);
+                }
+            }
         }
+        // Only now, as each that leaves makes room for one that waits: what has its answer is not sent any more.
+        answered.forEach(this::leave);
     }
 
     private void expire(Attempt attempt) {
--- a/node/src/test/java/weldhitch/node/DrainTest.java
+++ b/node/src/test/java/weldhitch/node/DrainTest.java
@@ -9,7 +9,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.Semaphore;
 import weldhitch.testkit.Message;
 import weldhitch.testkit.Peer;
 import weldhitch.testkit.Wire;
@@ -94,17 +94,15 @@
     /** Its deadline is 8 s, and the platform kills 3.7 s after the word: a reset would be all the caller gets. */
     @Test
     void answersWhatWasTakenBeforeTheWordAndWaitsPastTheKill() throws Exception {
-        CountDownLatch asked = new CountDownLatch(1);
-        AtomicInteger heads = new AtomicInteger();
+        Semaphore asked = new Semaphore(0);
         Peer silent = new Peer(wire -> {
             while (wire.head() != null) {
-                heads.incrementAndGet();
-                asked.countDown();
+                asked.release();
             }
         });
         try (Harness h = Harness.start(silent); Wire waits = h.client()) {
             waits.write(post("1", "b"));
-            asked.await();
+            asked.acquire();
             long told = System.nanoTime();
             Thread drain = Tests.daemon(h.node::drain);
             Message m = waits.message();
@@ -113,7 +111,29 @@
             assertTrue(waits.ends());
             drain.join(Tests.WAIT_S * 1000L);
             assertTrue(!drain.isAlive(), "the node does not end by itself");
-            assertEquals(1, heads.get(), "written once");
+            assertEquals(0, asked.availablePermits(), "written again");
+        }
+    }
+
+    /** Nothing of it went out, as no server is there to take it, so that its caller may ask elsewhere. */
+    @Test
+    void refusesAtTheEndWhatWasNeverSent() throws Exception {
+        Peer server = Peer.answering(m -> ok("x"));
+        String draining = Harness.host("s", server.address(), "draining");
+        Peer discovery = Harness.discovery(draining);
+        try (server; discovery; Harness h = Harness.start(Harness.config(discovery.address(), draining, 1024, ""));
+                Wire waits = h.client()) {
+            waits.write(post("1", "b"));
+            // Taken for certain: a second one with its id is turned away.
+            while (h.ask(post("1", "b")).status() != 400) {
+                Thread.onSpinWait();
+            }
+            Thread drain = Tests.daemon(h.node::drain);
+            assertEquals(503, waits.message().status());
+            assertTrue(waits.ends());
+            drain.join(Tests.WAIT_S * 1000L);
+            assertTrue(!drain.isAlive(), "the node does not end by itself");
+            assertEquals(0, server.requests.size());
         }
     }
 
