Cap aims of the planned end in one place, and read no clock for a reused connection

The cap on an aim was taken twice in DrainPlan, each answer on a reused connection read the clock once more on the request path, a condition beside it could not be false, and names in ColdFleetTest did not say what they are. Change: the cap is kept with the longest aim; the time of the answer is passed on. No decision changes.

--- a/decision/src/main/java/weldhitch/decision/DrainPlan.java
+++ b/decision/src/main/java/weldhitch/decision/DrainPlan.java
@@ -7,15 +7,15 @@
  * <p>A planned restart of many nodes overlaps: the one told before may not be back yet when this one is told, and
  * then the connections that this one closes have nowhere to go. So it keeps them, and serves on them as ever, for as
  * long as what callers ask for can still be answered within its aim before the platform kills the process, which it
- * does no sooner than the longest deadline (3 s at most) and 0.7 s after SIGTERM. Only then are callers told to go, a few at a time,
- * so that their new connections do not fall on one other node in the same moment. A deadline past the end is cut to
- * it; what comes too late even for its aim is refused, as it is known not to have run.
+ * does no sooner than the longest deadline (3 s at most) and 0.7 s after SIGTERM. Only then are callers told to go, a
+ * few at a time, so that their new connections do not fall on one other node in the same moment. A deadline past the
+ * end is cut to it; what comes too late even for its aim is refused, as it is known not to have run.
  */
 public final class DrainPlan {
     private static final long MILLI = 1_000_000L;
     /** The platform waits for the longest deadline, but for no longer one than this. */
     private static final long MOST_WAITED_FOR = 3000 * MILLI;
-    /** Where aims are longer than this, half of what the platform waits is asked for in their place. */
+    /** An aim counts for no more than this here: one as long as the end is away would have all refused at once. */
     private static final long MOST_WANTED = MOST_WAITED_FOR / 2;
     /** How long after the longest deadline the process is sure to live, less room for a late timer and the exit. */
     private static final long AFTER_LONGEST = 500 * MILLI;
@@ -75,7 +75,7 @@
             return patience;
         }
         long left = end() - now;
-        long wanted = aim > 0 ? Math.min(Math.min(aim, MOST_WANTED), patience) : patience;
+        long wanted = aim > 0 ? Math.min(Math.min(aim, longestAim), patience) : patience;
         return left < wanted ? 0 : Math.min(left, patience);
     }
 
--- a/decision/src/main/java/weldhitch/decision/ReuseTrust.java
+++ b/decision/src/main/java/weldhitch/decision/ReuseTrust.java
@@ -8,7 +8,9 @@
  * repeat has then failed. A server may close sooner than the settings say, so a fresh connection is the only one that
  * can be taken on trust; but each handshake costs a server work, and a node of a large fleet sees each server so seldom
  * that hardly any connection is fresh. What requests that may be repeated meet on older connections settles it: half of
- * the longest idle time after which one was answered is trusted, until one breaks.
+ * the longest idle time after which one was answered lately is trusted, until one breaks. It is one figure for all
+ * servers of a tier: a node that sees each seldom would never learn it of a single one, and the half is the margin for
+ * those that close sooner than the others.
  */
 public final class ReuseTrust {
     private static final long MILLI = 1_000_000L;
@@ -21,7 +23,7 @@
     private long proven;
     private long provenAt;
 
-    /** A request was answered on a connection that had stood idle for so long. */
+    /** A request was answered on a connection that had stood idle for so long. An unsafe one never raises trust. */
     public void answered(long idle, long now) {
         if (idle >= proven || now - provenAt > REMEMBERED) {
             proven = idle;
--- a/decision/src/test/java/weldhitch/decision/ColdFleetTest.java
+++ b/decision/src/test/java/weldhitch/decision/ColdFleetTest.java
@@ -32,28 +32,26 @@
 
     private final PriorityQueue<Due> due = new PriorityQueue<>((a, b) ->
         a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.number, b.number));
+    /** By server, the calls within the rule's span. */
     private final Map<String, ArrayDeque<Long>> coldCalls = new HashMap<>();
     private final Map<String, Long> born = new HashMap<>();
-    private final Random random;
+    private final Random random = new Random(4711);
     private RatioBalancer[] nodes;
     private long now = 100 * SECOND;
-    private long events;
-    private int cold;
+    private long scheduled;
+    private int calls;
+    /** The fullest window so far, as a share of what the rule allows. */
     private double worst;
 
-    ColdFleetTest() {
-        random = new Random(4711);
-    }
-
     private void at(long time, Runnable what) {
-        due.add(new Due(time, events++, what));
+        due.add(new Due(time, scheduled++, what));
     }
 
     private RatioBalancer node(int self, int siblings) {
         RequestClass read = Node.requestClass("read", Effect.SAFE, KeyGroup.ALL);
         Limits limits = new Limits(4, true, true, false, true, SECOND, 100 * MS);
-        return new RatioBalancer(new Settings("east", List.of("east", "west"), 1, self, siblings, List.of(read), List.of(),
-            1, false, false, Weights.NONE, List.of(), 0, 2 * MS, limits, RULES), random.nextLong());
+        return new RatioBalancer(new Settings("east", List.of("east", "west"), 1, self, siblings, List.of(read),
+            List.of(), 1, false, false, Weights.NONE, List.of(), 0, 2 * MS, limits, RULES), random.nextLong());
     }
 
     private Membership list(ListKind kind) {
@@ -90,14 +88,14 @@
         if (born.get(server) == 0 || age >= RULES.coldSpan()) {
             return;
         }
-        cold++;
-        ArrayDeque<Long> calls = coldCalls.computeIfAbsent(server, s -> new ArrayDeque<>());
-        calls.addLast(now);
-        while (now - calls.peekFirst() > RULES.fallSpan()) {
-            calls.removeFirst();
+        calls++;
+        ArrayDeque<Long> recent = coldCalls.computeIfAbsent(server, s -> new ArrayDeque<>());
+        recent.addLast(now);
+        while (now - recent.peekFirst() > RULES.fallSpan()) {
+            recent.removeFirst();
         }
         double present = CAPACITY * (RULES.startCapacity() + (1 - RULES.startCapacity()) * age / RULES.coldSpan());
-        worst = Math.max(worst, calls.size() / (RULES.fallMultiple() * present * RULES.fallSpan() / 1e9));
+        worst = Math.max(worst, recent.size() / (RULES.fallMultiple() * present * RULES.fallSpan() / 1e9));
     }
 
     /** Traffic is uneven: the node that is asked most gets seven times what the quietest one does. */
@@ -111,15 +109,16 @@
 
     private void arrivals(long until, double perSecond, int siblings) {
         if (now < until) {
-            tell(asked(siblings), new Arrival("r" + events, "read", now + 2 * SECOND, null, 0, false));
+            tell(asked(siblings), new Arrival("r" + scheduled, "read", now + 2 * SECOND, null, 0, false));
             at(now + (long) (-Math.log(1 - random.nextDouble()) * 1e9 / perSecond),
                 () -> arrivals(until, perSecond, siblings));
         }
     }
 
     @ParameterizedTest
-    @CsvSource({"1, 1, false", "1, 5, false", "1, 10, false", "2, 5, true", "14, 10, false", "40, 1, false", "40, 5, false",
-        "40, 10, false", "40, 5, true", "40, 10, true", "200, 1, false", "200, 5, false", "200, 10, false", "200, 10, true"})
+    @CsvSource({"1, 1, false", "1, 5, false", "1, 10, false", "2, 5, true", "14, 10, false", "40, 1, false",
+        "40, 5, false", "40, 10, false", "40, 5, true", "40, 10, true", "200, 1, false", "200, 5, false",
+        "200, 10, false", "200, 10, true"})
     void allNodesTogetherStayWithinTheRule(int siblings, int replaced, boolean restart) {
         nodes = new RatioBalancer[siblings];
         for (int i = 0; i < SERVERS; i++) {
@@ -148,7 +147,7 @@
             now = next.at;
             next.what.run();
         }
-        assertTrue(cold > 0, "cold servers were sent nothing");
+        assertTrue(calls > 0, "cold servers were sent nothing");
         assertTrue(worst < 1, siblings + " nodes sent a cold server " + worst + " of what the rule allows");
     }
 }
--- a/decision/src/test/java/weldhitch/decision/DrainPlanTest.java
+++ b/decision/src/test/java/weldhitch/decision/DrainPlanTest.java
@@ -83,9 +83,9 @@
         assertTrue(slow.over(at(3550)));
         for (long t = 0; t <= 3700; t += 10) {
             long time = slow.timeFor(at(t), 6981 * MILLI, 2793 * MILLI);
-            assertTrue(time == 0 || t + time / MILLI <= 3500, time / MILLI + " ms given " + t + " ms after the word to end");
+            assertTrue(time == 0 || t + time / MILLI <= 3500, time / MILLI + " ms given at " + t + " ms");
         }
-        assertEquals(3500 * MILLI, slow.timeFor(at(0), 13_967 * MILLI, 5587 * MILLI), "an aim past the kill is no reason to refuse");
+        assertEquals(3500 * MILLI, slow.timeFor(at(0), 13_967 * MILLI, 5587 * MILLI), "an aim past the kill");
         assertEquals(1500 * MILLI, slow.timeFor(at(2000), 6981 * MILLI, 2793 * MILLI));
         assertEquals(0, slow.timeFor(at(2001), 6981 * MILLI, 2793 * MILLI));
         assertTrue(slow.listens(at(1599), at(1590), 9));
--- a/node/src/main/java/weldhitch/node/ServerConnection.java
+++ b/node/src/main/java/weldhitch/node/ServerConnection.java
@@ -30,8 +30,8 @@
 
         void closed(ServerConnection connection);
 
-        /** A connection that had stood idle for so many nanoseconds carried a request and brought an answer. */
-        void answeredOnReuse(long idle);
+        /** A connection that had stood idle for so many nanoseconds carried a request, and brings its answer now. */
+        void answeredOnReuse(long idle, long now);
 
         /** A connection that had been used before broke as soon as it was used again. */
         void brokenOnReuse();
@@ -208,8 +208,8 @@
             interim = true;
             return;
         }
-        if (uses > 1 && !answering) {
-            owner.answeredOnReuse(startedAt - idleSince);
+        if (uses > 1) {
+            owner.answeredOnReuse(startedAt - idleSince, progressAt);
         }
         answering = true;
         reusable = HttpUtil.isKeepAlive(response);
--- a/node/src/main/java/weldhitch/node/ServerConnections.java
+++ b/node/src/main/java/weldhitch/node/ServerConnections.java
@@ -165,8 +165,8 @@
     // ---- the pool ----
 
     @Override
-    public void answeredOnReuse(long idle) {
-        trust.answered(idle, clock.now());
+    public void answeredOnReuse(long idle, long now) {
+        trust.answered(idle, now);
     }
 
     @Override
