Close a connection that is given back to a server that drains

Need: ServerConnections.release put it among the idle ones, where nothing uses it (no request is sent to a draining server) and it holds a connection of a server that has few until 0.7 of the keep-alive has passed. Change: it is closed. DiscoveryTest fails without it, after 20 s.

--- a/node/src/main/java/weldhitch/node/ServerConnections.java
+++ b/node/src/main/java/weldhitch/node/ServerConnections.java
@@ -44,6 +44,7 @@
     private static final class Peer {
         InetSocketAddress address;
         long startedAt;
+        boolean draining;
         final ArrayDeque<ServerConnection> idle = new ArrayDeque<>();
     }
 
@@ -85,7 +86,8 @@
             }
             Peer peer = peers.computeIfAbsent(server, s -> new Peer());
             boolean other = !host.address().equals(peer.address) || peer.startedAt != host.entry().startedAt();
-            if (other || host.entry().state() == ServerState.DRAINING) {
+            peer.draining = host.entry().state() == ServerState.DRAINING;
+            if (other || peer.draining) {
                 closeIdle(peer);
             }
             peer.address = host.address();
@@ -177,7 +179,7 @@
     @Override
     public void release(ServerConnection c) {
         Peer peer = peers.get(c.server);
-        if (peer == null || !c.channel.remoteAddress().equals(peer.address)) {
+        if (peer == null || peer.draining || !c.channel.remoteAddress().equals(peer.address)) {
             c.close();
             return;
         }
--- a/node/src/test/java/weldhitch/node/DiscoveryTest.java
+++ b/node/src/test/java/weldhitch/node/DiscoveryTest.java
@@ -13,6 +13,7 @@
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import weldhitch.testkit.Message;
@@ -100,6 +101,36 @@
         }
     }
 
+    /** A server that drains has few connections left, and nothing will be sent on this one. */
+    @Test
+    void aConnectionThatIsGivenBackToADrainingServerIsClosed() throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        CountDownLatch asked = new CountDownLatch(1);
+        CountDownLatch closed = new CountDownLatch(1);
+        Peer a = new Peer(wire -> {
+            while (wire.head() != null) {
+                asked.countDown();
+                answer.await();
+                wire.write(ok("a"));
+            }
+            closed.countDown();
+        });
+        Calls calls = new Calls();
+        // Kept for so long that its age alone would not close it.
+        byte[] config = new String(Harness.config(calls.peer.address(), host("a", a.address()), 1024, ""),
+            StandardCharsets.UTF_8).replace("\"keepaliveS\":5.0", "\"keepaliveS\":5000.0").getBytes(StandardCharsets.UTF_8);
+        try (calls; a; Harness h = Harness.start(config); Wire client = h.client()) {
+            client.write(get("1"));
+            asked.await();
+            calls.next();
+            calls.list(2, false, host("a", a.address(), "draining"));
+            calls.next();
+            answer.countDown();
+            assertEquals(200, client.message().status());
+            assertTrue(closed.await(Tests.WAIT_S, TimeUnit.SECONDS), "kept for nothing");
+        }
+    }
+
     @Test
     void failuresLeaveTheListInForce() throws Exception {
         try (Calls calls = new Calls(); Peer a = Peer.answering(m -> ok("a"));
