Take no answer for whole that a reset cut short

Cause: an answer with neither length nor chunks ends with its connection, and netty's decoder makes a last chunk of any end of the channel; ServerConnection.exceptionCaught closed the channel with the attempt still waiting, so complete() served what had come. Change: a failed connection ends its attempt ahead of the close (lost()), on a read, a write and a hang alike. Test: seven answers cut short by a reset, of which the three without a length came back as 200 without the mend (tried); one reset while the request is half written.

--- a/node/src/main/java/weldhitch/node/ServerConnection.java
+++ b/node/src/main/java/weldhitch/node/ServerConnection.java
@@ -159,7 +159,7 @@
             requestWritten = true;
             progressAt = clock.now();
         } else if (!success) {
-            channel.close();
+            lost();
         }
     }
 
@@ -364,11 +364,19 @@
     void checkProgress(long now) {
         boolean hanging = sink != null ? channel.config().isAutoRead() : exchanging && attempt == null;
         if (hanging && now - progressAt > LONGEST_PAUSE) {
-            broken();
-            close();
+            lost();
         }
     }
 
+    /**
+     * The connection failed. The attempt ends ahead of the close: the decoder takes any close for the end of an answer that
+     * states no length, where only an end of stream is one (RFC 9112 section 8).
+     */
+    private void lost() {
+        broken();
+        close();
+    }
+
     private void broken() {
         if (attempt != null && attempt.written) {
             if (uses > 1 && !answering && clock.now() - startedAt < AT_ONCE) {
@@ -392,6 +400,6 @@
         if (!(cause instanceof java.io.IOException)) {
             Log.failure("connection to server " + server, cause);
         }
-        close();
+        lost();
     }
 }
--- a/node/src/test/java/weldhitch/node/OutcomeTest.java
+++ b/node/src/test/java/weldhitch/node/OutcomeTest.java
@@ -16,6 +16,8 @@
 import weldhitch.testkit.Peer;
 import weldhitch.testkit.Wire;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import weldhitch.testkit.Behaviour;
 import weldhitch.testkit.Tests;
 
@@ -105,6 +107,57 @@
         failsUntried("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", true);
     }
 
+    /**
+     * An answer with neither length nor chunks ends with its connection, and a reset is no such end: the decoder takes it for
+     * one all the same, and what had come of the answer was served as the whole.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 200 OK\r\n\r\nhalf", "HTTP/1.0 200 OK\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", "HTTP/1.1 200 OK\r\nContent-Le", ""})
+    void answerThatAResetCutsShortMayHaveRunAndIsNotServed(String begun) throws Exception {
+        AtomicInteger asked = new AtomicInteger();
+        Message m = firstThen(wire -> {
+            wire.write(begun);
+            wire.reset();
+        }, asked);
+        assertEquals(1, asked.get(), "an unsafe request that may have run was sent again");
+        assertEquals(502, m.status());
+    }
+
+    @Test
+    void answerWithoutLengthThatItsConnectionEndsIsWhole() throws Exception {
+        Message m = firstThen(wire -> {
+            wire.write("HTTP/1.1 200 OK\r\n\r\nwhole");
+            wire.close();
+        }, new AtomicInteger());
+        assertEquals(200, m.status());
+        assertEquals("whole", m.text());
+    }
+
+    /** The write fails with the reset, and the close behind it is no end of the answer either; the request never ran. */
+    @Test
+    void answerBegunAndResetBeforeTheRequestIsWrittenIsTriedElsewhere() throws Exception {
+        String body = "b".repeat(8 << 20);
+        AtomicInteger asked = new AtomicInteger();
+        Behaviour both = wire -> {
+            for (String head = wire.head(); head != null; head = wire.head()) {
+                if (asked.incrementAndGet() == 1) {
+                    wire.write("HTTP/1.1 200 OK\r\n\r\nhalf");
+                    wire.bytes(1);
+                    wire.reset();
+                    return;
+                }
+                wire.bytes(body.length());
+                wire.write(ok("done"));
+            }
+        };
+        try (Harness h = Harness.start(new Peer(both), new Peer(both))) {
+            assertEquals("done", h.ask(post("w1", body)).text());
+            assertEquals(2, asked.get());
+        }
+    }
+
     @Test
     void garbageMayHaveRun() throws Exception {
         failsUntried("?!\0 not http at all\r\n\r\n", true);
