Hear signals before anybody can connect, and read configurations one after the other

Cause: Node.main took up SIGHUP and SIGTERM only when start() had returned, with the listener bound and /ready answering: a signal in between ended the process with what it had taken. Each SIGHUP read the file on a thread of its own, so that an older file could be taken up after a newer one. Change: LifeCycle (pure) says what each signal leads to at each moment, NodeService carries it out. Tests: all of nearly two million sequences of nine events; handlers stand before a connection is accepted; a slow older file is not taken up last.

--- a/node/src/main/java/weldhitch/node/Discovery.java
+++ b/node/src/main/java/weldhitch/node/Discovery.java
@@ -85,6 +85,10 @@
         return heard;
     }
 
+    InetSocketAddress address() {
+        return address;
+    }
+
     void start() {
         if (!asked) {
             call();
--- a/node/src/main/java/weldhitch/node/Node.java
+++ b/node/src/main/java/weldhitch/node/Node.java
@@ -1,9 +1,11 @@
 package weldhitch.node;
 
 import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.Map;
@@ -35,6 +37,7 @@
     private ServerConnections servers;
     private Discovery discovery;
     private ClientServer clients;
+    private Budget budget;
     /** What turns captures on and off; null where no operator file is named. */
     private Recording recording;
     /** This node's part in what its fleet shares, and by it the routes in force; null where it has none. */
@@ -45,8 +48,10 @@
     private int siblings = 1;
     private boolean anyServer;
     private InetSocketAddress bound;
+    private final String name;
 
-    private Node(OperatorRules operator) {
+    private Node(String name, OperatorRules operator) {
+        this.name = name;
         this.operator = operator;
     }
 
@@ -57,10 +62,7 @@
      */
     public static void main(Path operator) {
         try {
-            Node node = start(NodeConfig.load(System.getenv()), operator);
-            // Without a handler of its own the runtime ends the process on this signal.
-            sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> node.reload(System.getenv()));
-            Runtime.getRuntime().addShutdownHook(new Thread(node::drain, "drain"));
+            new NodeService(System.getenv(), Signals.ofProcess()).start(operator);
         } catch (NodeConfig.InvalidConfigException e) {
             System.err.println("weldhitch: " + e.getMessage());
             System.exit(EXIT_CONFIG);
@@ -88,7 +90,14 @@
     }
 
     static Node start(NodeConfig config, Path operator) throws Exception {
-        Node node = new Node(operator == null ? null : new OperatorRules(operator, config.settings()));
+        Node node = prepare(config, operator);
+        node.listen(node.opening(config));
+        return node;
+    }
+
+    /** A node that knows its servers and watches discovery, and does not listen yet. */
+    static Node prepare(NodeConfig config, Path operator) throws Exception {
+        Node node = new Node(config.name(), operator == null ? null : new OperatorRules(operator, config.settings()));
         OperatorRules.Made made = node.operator == null ? null : node.operator.first();
         try {
             node.group.next().submit(() -> node.build(config)).sync();
@@ -98,20 +107,34 @@
                 node.recording.put(node.operator.capture());
                 node.joinFleet(config, made);
             }
-            node.bound = (InetSocketAddress) node.clients.listen(config.listen()).sync().channel().localAddress();
         } catch (Exception e) {
             node.group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
             throw e;
         }
-        Log.line("node " + config.name() + " listens on " + node.bound);
         return node;
     }
 
+    /** Has the listener open on the loop, ahead of all that the loop is given after this. */
+    Future<ChannelFuture> opening(NodeConfig config) {
+        return group.next().submit(() -> clients.listen(config.listen()));
+    }
+
+    /** Returns once the listener is open. */
+    void listen(Future<ChannelFuture> opening) throws Exception {
+        try {
+            bound = (InetSocketAddress) opening.sync().getNow().sync().channel().localAddress();
+        } catch (Exception e) {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+            throw e;
+        }
+        Log.line("node " + name + " listens on " + bound);
+    }
+
     private void build(NodeConfig config) {
         EventLoop loop = group.next();
         siblings = config.settings().siblings();
         ByteBufAllocator allocator = Sockets.allocator();
-        Budget budget = new Budget(config.sockets(), Runtime.getRuntime().maxMemory());
+        budget = new Budget(config.sockets(), Runtime.getRuntime().maxMemory());
         RatioBalancer module = new RatioBalancer(config.settings(), config.seed());
         dispatcher = new Dispatcher(clock, loop, module, config.settings().limits());
         servers = new ServerConnections(loop, allocator, clock, budget, dispatcher, config.keepalive(),
@@ -170,6 +193,27 @@
         return bound;
     }
 
+    /** The one loop that does all work. For tests, like the three below. */
+    EventLoop loop() {
+        return group.next();
+    }
+
+    /** Connections from callers that are open. */
+    int openConnections() {
+        return group.next().submit(clients::openConnections).syncUninterruptibly().getNow();
+    }
+
+    /** Memory that bodies and what callers sent ahead hold. */
+    long heldBytes() {
+        return group.next().submit(budget::held).syncUninterruptibly().getNow();
+    }
+
+    /** Host and port of the discovery that is watched. */
+    String discoveryAddress() {
+        InetSocketAddress at = group.next().submit(discovery::address).syncUninterruptibly().getNow();
+        return at.getAddress().getHostAddress() + ":" + at.getPort();
+    }
+
     /**
      * Takes up from a new configuration what may change while the node runs: the address of discovery, and the routes
      * of the operator file. Either file changes nothing where it makes no sense. Reads them, and returns when the routes
--- /dev/null
+++ b/node/src/test/java/weldhitch/node/DiscoveryCalls.java
@@ -0,0 +1,53 @@
+package weldhitch.node;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static weldhitch.node.Harness.ok;
+
+import java.io.IOException;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import weldhitch.testkit.Message;
+import weldhitch.testkit.Peer;
+import weldhitch.testkit.Tests;
+
+/** A discovery whose calls a test answers one by one. */
+final class DiscoveryCalls implements AutoCloseable {
+    final BlockingQueue<String> calls = new LinkedBlockingQueue<>();
+    final BlockingQueue<String> answers = new LinkedBlockingQueue<>();
+    final Peer peer = new Peer(wire -> {
+        for (Message m = wire.message(); m != null; m = wire.message()) {
+            calls.add(m.firstLine());
+            String answer = answers.take();
+            if (answer.equals("reset")) {
+                wire.reset();
+            } else {
+                wire.write(answer);
+            }
+        }
+    });
+
+    DiscoveryCalls() throws IOException {
+    }
+
+    String next() throws InterruptedException {
+        String call = calls.poll(Tests.WAIT_S, TimeUnit.SECONDS);
+        assertTrue(call != null, "no call came");
+        return call;
+    }
+
+    void list(int seq, boolean whole, String hosts) {
+        answers.add(ok("{\"seq\":" + seq + ",\"whole\":" + whole + ",\"hosts\":[" + hosts + "]}"));
+    }
+
+    /** Tells this at the call that waits, and returns when the node has taken it up. */
+    void tell(int seq, boolean whole, String hosts) throws InterruptedException {
+        list(seq, whole, hosts);
+        next();
+    }
+
+    @Override
+    public void close() throws IOException {
+        peer.close();
+    }
+}
--- a/node/src/test/java/weldhitch/node/DiscoveryTest.java
+++ b/node/src/test/java/weldhitch/node/DiscoveryTest.java
@@ -12,11 +12,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import weldhitch.testkit.Message;
 import weldhitch.testkit.Peer;
 import weldhitch.testkit.Wire;
 import org.junit.jupiter.api.Test;
@@ -26,48 +23,13 @@
 class DiscoveryTest {
     private static final String GET_ALL = "GET /v1/endpoints HTTP/1.1";
 
-    /** A discovery whose calls a test answers one by one. */
-    private static final class Calls implements AutoCloseable {
-        final BlockingQueue<String> calls = new LinkedBlockingQueue<>();
-        final BlockingQueue<String> answers = new LinkedBlockingQueue<>();
-        final Peer peer = new Peer(wire -> {
-            for (Message m = wire.message(); m != null; m = wire.message()) {
-                calls.add(m.firstLine());
-                String answer = answers.take();
-                if (answer.equals("reset")) {
-                    wire.reset();
-                } else {
-                    wire.write(answer);
-                }
-            }
-        });
-
-        Calls() throws IOException {
-        }
-
-        String next() throws InterruptedException {
-            String call = calls.poll(Tests.WAIT_S, TimeUnit.SECONDS);
-            assertTrue(call != null, "no call came");
-            return call;
-        }
-
-        void list(int seq, boolean whole, String hosts) {
-            answers.add(ok("{\"seq\":" + seq + ",\"whole\":" + whole + ",\"hosts\":[" + hosts + "]}"));
-        }
-
-        @Override
-        public void close() throws IOException {
-            peer.close();
-        }
-    }
-
     private static void servedBy(Harness h, String id, String body) throws IOException {
         assertEquals(body, h.ask(get(id)).text());
     }
 
     @Test
     void watchGoesOnAndItsNewsIsFollowed() throws Exception {
-        try (Calls calls = new Calls(); Peer a = Peer.answering(m -> ok("a")); Peer b = Peer.answering(m -> ok("b"));
+        try (DiscoveryCalls calls = new DiscoveryCalls(); Peer a = Peer.answering(m -> ok("a")); Peer b = Peer.answering(m -> ok("b"));
                 Harness h = Harness.start(Harness.config(calls.peer.address(), host("a", a.address()), 1024, ""))) {
             assertEquals("GET /v1/endpoints?after=0&wait_ms=0 HTTP/1.1", calls.next());
             calls.list(7, false, host("b", b.address()) + "," + host("a", a.address(), "draining"));
@@ -86,7 +48,7 @@
 
     @Test
     void idleConnectionsToADrainingServerAreClosed() throws Exception {
-        try (Calls calls = new Calls(); Peer a = Peer.answering(m -> ok("a"));
+        try (DiscoveryCalls calls = new DiscoveryCalls(); Peer a = Peer.answering(m -> ok("a"));
                 Harness h = Harness.start(Harness.config(calls.peer.address(), host("a", a.address()), 1024, ""))) {
             servedBy(h, "1", "a");
             a.connection();
@@ -115,7 +77,7 @@
             }
             closed.countDown();
         });
-        Calls calls = new Calls();
+        DiscoveryCalls calls = new DiscoveryCalls();
         // Kept for so long that its age alone would not close it.
         byte[] config = new String(Harness.config(calls.peer.address(), host("a", a.address()), 1024, ""),
             StandardCharsets.UTF_8).replace("\"keepaliveS\":5.0", "\"keepaliveS\":5000.0").getBytes(StandardCharsets.UTF_8);
@@ -133,7 +95,7 @@
 
     @Test
     void failuresLeaveTheListInForce() throws Exception {
-        try (Calls calls = new Calls(); Peer a = Peer.answering(m -> ok("a"));
+        try (DiscoveryCalls calls = new DiscoveryCalls(); Peer a = Peer.answering(m -> ok("a"));
                 Harness h = Harness.start(Harness.config(calls.peer.address(), host("a", a.address()), 1024, ""))) {
             String[] failures = {"reset", "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", "garbage\r\n\r\n"};
             for (String failure : failures) {
@@ -161,7 +123,7 @@
 
     @Test
     void whereItIsAskedItIsAskedAgainAfterAFailure() throws Exception {
-        try (Calls calls = new Calls(); Peer a = Peer.answering(m -> ok("a"));
+        try (DiscoveryCalls calls = new DiscoveryCalls(); Peer a = Peer.answering(m -> ok("a"));
                 Harness h = Harness.start(Harness.config(calls.peer.address(), host("a", a.address()), 1024,
                     ",\"membershipMode\":\"ask\""))) {
             servedBy(h, "1", "a");
@@ -176,7 +138,7 @@
     /** Nothing closes a watch that has fallen silent: the node has to notice by itself, and open another connection. */
     @Test
     void aSilentWatchIsOpenedAnew() throws Exception {
-        try (Calls calls = new Calls(); Peer a = Peer.answering(m -> ok("a"));
+        try (DiscoveryCalls calls = new DiscoveryCalls(); Peer a = Peer.answering(m -> ok("a"));
                 Harness h = Harness.start(Harness.config(calls.peer.address(), host("a", a.address()), 1024, ""))) {
             calls.next();
             calls.list(4, true, host("a", a.address()));
@@ -193,7 +155,7 @@
 
     @Test
     void aSharedServiceThatAsksToStayAwayIsLeftAlone() throws Exception {
-        try (Calls calls = new Calls(); Peer a = Peer.answering(m -> ok("a"));
+        try (DiscoveryCalls calls = new DiscoveryCalls(); Peer a = Peer.answering(m -> ok("a"));
                 Harness h = Harness.start(Harness.config(calls.peer.address(), host("a", a.address()), 1024,
                     ",\"membershipMode\":\"ask\""))) {
             calls.next();
@@ -209,7 +171,7 @@
     @Test
     void newConfigurationMovesTheWatchAndABadOneChangesNothing() throws Exception {
         Path file = Files.createTempFile("weldhitch", ".json");
-        try (Calls old = new Calls(); Calls next = new Calls(); Peer a = Peer.answering(m -> ok("a"));
+        try (DiscoveryCalls old = new DiscoveryCalls(); DiscoveryCalls next = new DiscoveryCalls(); Peer a = Peer.answering(m -> ok("a"));
                 Peer b = Peer.answering(m -> ok("b"));
                 Harness h = Harness.start(Harness.config(old.peer.address(), host("a", a.address()), 1024, ""))) {
             Map<String, String> environment = Map.of("GW_CONFIG", file.toString(), "GW_DISCOVERY", old.peer.address());
