Read callers on while they wait, and once more before a connection or listener closes

Cause: ClientConnection.channelRead stopped reading once anything was sent ahead, so nobody saw its caller leave, and goOn sent on what a caller that had gone had sent ahead. More than 128 requests in one read failed the codec (maxPipelineDepth exceeded) and the connection with the request it had taken. drainStep closed the listener over connections that wait to be accepted (a turn takes 16), and idle connections over requests not read. Change: what comes ahead is kept within 512 KiB out of the budget, the rest dropped and the connection ended behind the last answer; what has come is accepted and read before a close.

--- a/node/src/main/java/weldhitch/node/ClientConnection.java
+++ b/node/src/main/java/weldhitch/node/ClientConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -61,6 +62,14 @@
     /** How long a client may leave an answer unread. */
     private static final long LONGEST_UNREAD = 30 * SECOND;
     private static final long LINGER = 2 * SECOND;
+    /**
+     * How much memory what a caller sends ahead of its answers may take. It is read on, as nothing else tells that the caller
+     * has gone; what comes beyond this is dropped, and the connection ends behind the answers to what was kept.
+     */
+    private static final int MOST_AHEAD = 512 * 1024;
+    /** What a head sent ahead is taken to hold in memory, and a piece of a body besides its bytes. */
+    private static final int HEAD_HOLDS = 2 * 1024;
+    private static final int PIECE_HOLDS = 128;
     /** No caller waits longer than this; what claims so is cut to it. */
     private static final long LONGEST_PATIENCE = 60 * SECOND;
 
@@ -84,6 +93,9 @@
     private final Budget budget;
     private final SocketChannel channel;
     private final ArrayDeque<Object> ahead = new ArrayDeque<>();
+    private int aheadHolds;
+    /** Something that was sent ahead has been dropped: nothing behind it is read any more. */
+    private boolean cutOff;
     private State state = State.IDLE;
     private long since;
     /** When the first byte of a head came that is not whole yet; 0 where there is none. */
@@ -112,6 +124,10 @@
         return new ChannelInboundHandlerAdapter() {
             @Override
             public void channelRead(ChannelHandlerContext context, Object message) {
+                if (cutOff) {
+                    ReferenceCountUtil.release(message);
+                    return;
+                }
                 received += message instanceof ByteBuf bytes ? bytes.readableBytes() : 0;
                 if (state == State.IDLE && headSince == 0) {
                     headSince = clock.now();
@@ -126,6 +142,20 @@
         channel.close();
     }
 
+    /**
+     * Closes the connection between two requests. What has come and is not read yet is read first: closed over it, the
+     * connection would be reset and its request lost.
+     */
+    void closeIfResting() {
+        if (channel.isOpen() && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe reads) {
+            reads.read();
+        }
+        if (state == State.IDLE && headSince == 0) {
+            owner.idle(this, false);
+            close();
+        }
+    }
+
     long idleFor(long now) {
         return now - since;
     }
@@ -147,14 +177,50 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
-        if (!ahead.isEmpty() || mustWait()) {
-            ahead.add(message);
-            channel.config().setAutoRead(false);
+        if (cutOff) {
+            ReferenceCountUtil.release(message);
+        } else if (!ahead.isEmpty() || mustWait()) {
+            keep(message);
         } else {
             take(message);
         }
     }
 
+    /** Keeps what was sent ahead. A body is copied out of its read buffer, which even one byte of it would hold whole. */
+    private void keep(Object message) {
+        Object kept = message;
+        if (message instanceof HttpContent content && content.content().isReadable()) {
+            kept = content.replace(Unpooled.copiedBuffer(content.content()));
+            content.release();
+        }
+        int holds = holds(kept);
+        if (aheadHolds + holds > MOST_AHEAD || !budget.take(holds, 0)) {
+            ReferenceCountUtil.release(kept);
+            cutOff = true;
+            return;
+        }
+        aheadHolds += holds;
+        ahead.add(kept);
+    }
+
+    private static int holds(Object message) {
+        return message instanceof HttpContent content ? PIECE_HOLDS + content.content().readableBytes() : HEAD_HOLDS;
+    }
+
+    private Object nextAhead() {
+        Object next = ahead.poll();
+        int holds = holds(next);
+        aheadHolds -= holds;
+        budget.giveBack(holds);
+        return next;
+    }
+
+    private void dropAhead() {
+        while (!ahead.isEmpty()) {
+            ReferenceCountUtil.release(nextAhead());
+        }
+    }
+
     private boolean mustWait() {
         return state == State.WAITING || state == State.STREAMING || !channel.isWritable();
     }
@@ -162,10 +228,15 @@
     /** Goes on with what was sent ahead; a client that reads no answers gets no further ones. */
     private void goOn() {
         while (!ahead.isEmpty() && !mustWait()) {
-            take(ahead.poll());
+            take(nextAhead());
         }
-        if (ahead.isEmpty()) {
-            channel.config().setAutoRead(true);
+        if (cutOff && ahead.isEmpty() && !mustWait() && state != State.CLOSING) {
+            if (state == State.RECEIVING) {
+                // Its rest was dropped. Nothing of it was sent on, so the caller may send it again.
+                keepAlive = false;
+                answer(HttpResponseStatus.SERVICE_UNAVAILABLE, 0);
+            }
+            linger();
         }
     }
 
@@ -412,7 +483,7 @@
     }
 
     private boolean keepsAlive() {
-        keepAlive &= !owner.saysClose();
+        keepAlive &= !owner.saysClose() && !(cutOff && ahead.isEmpty());
         return keepAlive;
     }
 
@@ -427,9 +498,7 @@
         exchange = null;
         if (keepAlive) {
             enter(State.IDLE);
-            if (ahead.isEmpty()) {
-                channel.config().setAutoRead(true);
-            } else {
+            if (!ahead.isEmpty()) {
                 channel.eventLoop().execute(this::goOn);
             }
         } else {
@@ -439,9 +508,7 @@
 
     private void linger() {
         enter(State.CLOSING);
-        ahead.forEach(ReferenceCountUtil::release);
-        ahead.clear();
-        channel.config().setAutoRead(true);
+        dropAhead();
         channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> channel.shutdownOutput());
     }
 
@@ -510,7 +577,7 @@
                     answer(HttpResponseStatus.REQUEST_TIMEOUT, 0);
                     linger();
                 } else if (headSince == 0 && spent > (asked ? LONGEST_IDLE : LONGEST_SILENCE)) {
-                    close();
+                    closeIfResting();
                 }
             }
             case RECEIVING, SKIPPING -> {
@@ -539,8 +606,7 @@
         State before = state;
         state = State.CLOSING;
         owner.closed(this);
-        ahead.forEach(ReferenceCountUtil::release);
-        ahead.clear();
+        dropAhead();
         if (source != null) {
             StreamSource from = source;
             source = null;
--- a/node/src/main/java/weldhitch/node/ClientServer.java
+++ b/node/src/main/java/weldhitch/node/ClientServer.java
@@ -8,16 +8,20 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.MaxMessagesRecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -28,7 +32,13 @@
 import weldhitch.decision.DrainPlan;
 
 final class ClientServer implements ClientConnection.Owner {
+    private static final int BACKLOG = 4096;
     private static final int LONGEST_LINE = 8 * 1024;
+    /**
+     * Requests that the codec may have read on one connection and seen no answer to; with more it fails, and the connection
+     * with it. Above what is kept of those sent ahead and what one read can hold besides (18 bytes each).
+     */
+    private static final int MOST_UNDECIDED = 2048;
     private static final int LONGEST_HEAD = 16 * 1024;
     private static final long SWEEP_MS = 250;
     private static final long DRAIN_STEP_MS = 20;
@@ -65,7 +75,7 @@
     ChannelFuture listen(InetSocketAddress address) {
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_BACKLOG, 4096)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.ALLOCATOR, allocator)
             .childOption(ChannelOption.TCP_NODELAY, true)
@@ -78,7 +88,7 @@
                         budget, channel);
                     channel.pipeline().addLast(connection.byteWatch(), new HttpServerCodec(new HttpDecoderConfig()
                         .setMaxInitialLineLength(LONGEST_LINE).setMaxHeaderSize(LONGEST_HEAD)
-                        .setMaxChunkSize(Sockets.READ_SIZE)), connection);
+                        .setMaxChunkSize(Sockets.READ_SIZE), MOST_UNDECIDED), connection);
                 }
             })
             .bind(address);
@@ -126,15 +136,24 @@
     }
 
     private void makeRoom(long now) {
-        Iterator<ClientConnection> oldest = idle.iterator();
-        for (int tooMany = open.size() - budget.servedClients; tooMany > 0 && oldest.hasNext(); tooMany--) {
-            ClientConnection c = oldest.next();
-            if (c.idleFor(now) <= SURELY_IDLE) {
-                return;
+        int tooMany = open.size() - budget.servedClients;
+        int surelyIdle = 0;
+        for (Iterator<ClientConnection> oldest = idle.iterator(); surelyIdle < tooMany && oldest.hasNext(); surelyIdle++) {
+            if (oldest.next().idleFor(now) <= SURELY_IDLE) {
+                break;
             }
-            oldest.remove();
-            c.close();
         }
+        closeResting(surelyIdle);
+    }
+
+    /** Closes so many of those that have been idle longest, less those that turn out not to be. */
+    private void closeResting(int count) {
+        // What is read at last may have a request that is answered at once, and its connection idle again.
+        List<ClientConnection> resting = new ArrayList<>(Math.max(0, count));
+        for (Iterator<ClientConnection> oldest = idle.iterator(); resting.size() < count && oldest.hasNext();) {
+            resting.add(oldest.next());
+        }
+        resting.forEach(ClientConnection::closeIfResting);
     }
 
     private void madeRoom() {
@@ -189,20 +208,28 @@
         }
     }
 
+    /**
+     * Takes what the system has accepted and nobody has read: with the listener it would be reset, requests and all. As many
+     * as the backlog holds, where a usual turn of the loop takes a few. While there is no room it is left alone.
+     */
+    private void takeAllAccepted() {
+        if (listener.config().isAutoRead() && listener.unsafe() instanceof AbstractNioChannel.NioUnsafe accepts
+                && listener.config().getRecvByteBufAllocator() instanceof MaxMessagesRecvByteBufAllocator turn) {
+            turn.maxMessagesPerRead(BACKLOG);
+            accepts.read();
+        }
+    }
+
     private void drainStep(Runnable done) {
         long now = clock.now();
         if (listener.isOpen() && !end.listens(now, acceptedAt, open.size())) {
+            takeAllAccepted();
             Log.line("draining: no new connections from now on, " + open.size() + " open");
             listener.close();
         }
         if (end.saysClose(now)) {
             idleAtFarewell = idleAtFarewell < 0 ? idle.size() : idleAtFarewell;
-            Iterator<ClientConnection> oldest = idle.iterator();
-            for (int tooMany = idle.size() - end.keepsIdle(now, idleAtFarewell); tooMany > 0; tooMany--) {
-                ClientConnection c = oldest.next();
-                oldest.remove();
-                c.close();
-            }
+            closeResting(idle.size() - end.keepsIdle(now, idleAtFarewell));
         }
         if (end.over(now)) {
             dispatcher.answerAll();
--- a/node/src/test/java/weldhitch/node/DrainTest.java
+++ b/node/src/test/java/weldhitch/node/DrainTest.java
@@ -204,4 +204,41 @@
             assertTrue(!drain.isAlive(), "the node does not end by itself");
         }
     }
+
+    /**
+     * What the system had accepted for the listener and the node had not was reset as the listener closed, requests and all:
+     * a busy loop takes sixteen connections at a turn.
+     */
+    @Test
+    void connectionsThatWaitToBeAcceptedAreAnsweredWhenTheListenerCloses() throws Exception {
+        try (Harness h = Harness.start(Peer.answering(m -> ok("x")))) {
+            Thread drain = Tests.daemon(h.node::drain);
+            while (h.ask("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").status() == 200) {
+                Thread.onSpinWait();
+            }
+            long told = System.nanoTime();
+            CountDownLatch busy = new CountDownLatch(1);
+            h.node.loop().execute(() -> {
+                try {
+                    busy.await();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+            Wire[] waiting = new Wire[60];
+            for (int i = 0; i < waiting.length; i++) {
+                waiting[i] = h.client();
+                waiting[i].write(get("w" + i));
+            }
+            // The longest aim counts as 1.5 s here, so callers are told to go, and the listener closes, 1.6 s after the signal.
+            Tests.await(() -> System.nanoTime() - told > 1_700_000_000L);
+            busy.countDown();
+            for (Wire wire : waiting) {
+                int status = wire.message().status();
+                assertTrue(status == 200 || status == 503, "status " + status);
+                wire.close();
+            }
+            drain.join(Tests.WAIT_S * 1000L);
+        }
+    }
 }
