Ask once more, right before the first byte, whether an attempt may begin

Cause: ServerConnections.dial started an attempt when its dial came up, whatever had happened since: its server drained, gone, started anew or moved, a window for repeats over; and where the settings allow no cancels, the caller gone. Shown on loopback by a dial that a full backlog holds: in all of these the request was sent (tried without the mend). Change: LastCheck (pure) is asked in one place, for new and used connections; what may not begin ends as never run and is placed anew; what is unwritten ends with its request.

--- a/node/src/main/java/weldhitch/node/Attempt.java
+++ b/node/src/main/java/weldhitch/node/Attempt.java
@@ -21,12 +21,17 @@
     boolean written;
     boolean streaming;
     boolean ended;
+    /** It is certain that it never ran. */
+    boolean neverRan;
+    /** Until when servers discard it where an earlier attempt has run; the most there is where none may have. */
+    final long repeatUntil;
 
-    Attempt(CallerRequest request, int number, String server, long sentAt, long until) {
+    Attempt(CallerRequest request, int number, String server, long sentAt, long until, long repeatUntil) {
         this.request = request;
         this.number = number;
         this.server = server;
         this.sentAt = sentAt;
         this.until = until;
+        this.repeatUntil = repeatUntil;
     }
 }
--- a/node/src/main/java/weldhitch/node/Dispatcher.java
+++ b/node/src/main/java/weldhitch/node/Dispatcher.java
@@ -167,6 +167,7 @@
         attempt.streaming = true;
         stopTimer(attempt);
         tell(new FirstByte(x.request.id(), attempt.number, attempt.server, clock.now() - attempt.sentAt));
+        forget(x);
         return x.caller;
     }
 
@@ -176,6 +177,7 @@
             return;
         }
         attempt.ended = true;
+        attempt.neverRan = outcome.neverRan;
         attempt.carrier = null;
         stopTimer(attempt);
         Exchange x = exchanges.get(attempt.request.id());
@@ -319,7 +321,7 @@
         }
         long now = clock.now();
         long until = send.timeout() > 0 ? Math.min(x.deadline, now + send.timeout()) : x.deadline;
-        Attempt attempt = new Attempt(x.request, x.attempts.size(), send.server(), now, until);
+        Attempt attempt = new Attempt(x.request, x.attempts.size(), send.server(), now, until, repeatUntil(x));
         x.attempts.add(attempt);
         x.out++;
         if (x.over || now >= until || attempt.number >= limits.maxAttempts()) {
@@ -333,6 +335,22 @@
         servers.send(attempt);
     }
 
+    /**
+     * Until when servers discard a repeat of what may have run. Counted from the decision to send that, which comes ahead of
+     * the first byte from which they remember it.
+     */
+    private static long repeatUntil(Exchange x) {
+        RequestClass requestClass = x.request.requestClass();
+        if (requestClass.effect() == Effect.KEYED) {
+            for (Attempt attempt : x.attempts) {
+                if (!attempt.neverRan) {
+                    return attempt.sentAt + requestClass.memory();
+                }
+            }
+        }
+        return Long.MAX_VALUE;
+    }
+
     private void cancel(Cancel cancel) {
         Exchange x = exchanges.get(cancel.request());
         if (x == null || cancel.attempt() < 0 || cancel.attempt() >= x.attempts.size()) {
@@ -358,7 +376,24 @@
         return true;
     }
 
+    /**
+     * Ends what has not begun for a request that is over, where the settings do not let the module call attempts off: one
+     * whose last byte is still here is no attempt yet for its server, and must not become one.
+     */
+    private void callOffUnwritten(Exchange x) {
+        for (int i = 0; i < x.attempts.size() && x.out > 0; i++) {
+            Attempt attempt = x.attempts.get(i);
+            if (!attempt.ended && !attempt.written && !attempt.streaming) {
+                servers.giveUp(attempt);
+                ended(attempt, Outcome.NOT_SENT, null);
+            }
+        }
+    }
+
     private void forget(Exchange x) {
+        if (x.over && !limits.cancel()) {
+            callOffUnwritten(x);
+        }
         if (x.over && x.out == 0 && exchanges.remove(x.request.id(), x)) {
             x.request.body().release();
             if (x.table != null) {
--- a/node/src/main/java/weldhitch/node/ServerConnection.java
+++ b/node/src/main/java/weldhitch/node/ServerConnection.java
@@ -55,6 +55,8 @@
     private static final long AT_ONCE = 10 * MILLI;
 
     final String server;
+    /** Of its server when it was dialled. */
+    final long incarnation;
     final Channel channel;
     long idleSince;
     private int uses;
@@ -79,12 +81,13 @@
     private long progressAt;
 
     ServerConnection(Owner owner, AttemptListener listener, Clock clock, Budget budget, String server,
-            Channel channel) {
+            long incarnation, Channel channel) {
         this.owner = owner;
         this.listener = listener;
         this.clock = clock;
         this.budget = budget;
         this.server = server;
+        this.incarnation = incarnation;
         this.channel = channel;
     }
 
--- a/node/src/main/java/weldhitch/node/ServerConnections.java
+++ b/node/src/main/java/weldhitch/node/ServerConnections.java
@@ -22,6 +22,8 @@
 import weldhitch.decision.Balancing.Effect;
 import weldhitch.decision.Balancing.Outcome;
 import weldhitch.decision.Balancing.ServerState;
+import weldhitch.decision.LastCheck;
+import weldhitch.decision.LastCheck.Verdict;
 import weldhitch.decision.ReuseTrust;
 
 final class ServerConnections implements ServerConnection.Owner {
@@ -40,10 +42,14 @@
     private int descriptors;
     private final ReuseTrust trust = new ReuseTrust();
 
+    private long incarnations;
+
     /** A server as this node reaches it. */
     private static final class Peer {
         InetSocketAddress address;
         long startedAt;
+        /** Another number with each start and each address, and once the list no longer names it. */
+        long incarnation;
         boolean draining;
         final ArrayDeque<ServerConnection> idle = new ArrayDeque<>();
     }
@@ -90,6 +96,9 @@
             if (other || peer.draining) {
                 closeIdle(peer);
             }
+            if (other) {
+                peer.incarnation = ++incarnations;
+            }
             peer.address = host.address();
             peer.startedAt = host.entry().startedAt();
         }
@@ -98,6 +107,7 @@
     private void remove(String server) {
         Peer peer = peers.remove(server);
         if (peer != null) {
+            peer.incarnation = LastCheck.NOT_LISTED;
             closeIdle(peer);
         }
     }
@@ -123,7 +133,7 @@
         }
         for (ServerConnection c = peer.idle.pollFirst(); c != null; c = peer.idle.pollFirst()) {
             if (c.usable() && now - c.idleSince < oldest) {
-                c.start(attempt);
+                begin(attempt, peer, c);
                 return;
             }
             c.close();
@@ -131,12 +141,25 @@
         dial(peer, attempt);
     }
 
+    /** The one place in which an attempt begins, or turns out not to be allowed to any more. */
+    private void begin(Attempt attempt, Peer peer, ServerConnection c) {
+        Verdict verdict = LastCheck.of(!attempt.ended, clock.now(), attempt.until, attempt.repeatUntil, c.incarnation,
+            peer.incarnation, peer.draining);
+        if (verdict == Verdict.BEGINS) {
+            c.start(attempt);
+            return;
+        }
+        c.close();
+        listener.ended(attempt, Outcome.NOT_SENT, null);
+    }
+
     private void dial(Peer peer, Attempt attempt) {
         if (descriptors >= budget.servers && !closeOldestIdle()) {
             listener.ended(attempt, Outcome.CONNECT_FAILED, null);
             return;
         }
         descriptors++;
+        long incarnation = peer.incarnation;
         ChannelFuture dial = bootstrap.connect(peer.address);
         // The one place that gives a descriptor back: a dial that fails or is given up ends here like a connection.
         // Without it the budget is spent for good after so many dials, and each later one fails unsent.
@@ -149,11 +172,11 @@
                 dial.channel().close();
                 listener.ended(attempt, Outcome.CONNECT_FAILED, null);
             } else {
-                ServerConnection c = new ServerConnection(this, listener, clock, budget, attempt.server,
+                ServerConnection c = new ServerConnection(this, listener, clock, budget, attempt.server, incarnation,
                     dial.channel());
                 open.add(c);
                 dial.channel().pipeline().addFirst(c.headWatch()).addLast(c);
-                c.start(attempt);
+                begin(attempt, peer, c);
             }
         });
     }
@@ -179,7 +202,7 @@
     @Override
     public void release(ServerConnection c) {
         Peer peer = peers.get(c.server);
-        if (peer == null || peer.draining || !c.channel.remoteAddress().equals(peer.address)) {
+        if (peer == null || peer.draining || c.incarnation != peer.incarnation) {
             c.close();
             return;
         }
--- /dev/null
+++ b/node/src/test/java/weldhitch/node/CrossingTest.java
@@ -0,0 +1,178 @@
+package weldhitch.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static weldhitch.node.Harness.get;
+import static weldhitch.node.Harness.host;
+import static weldhitch.node.Harness.ok;
+import static weldhitch.node.Harness.post;
+
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import weldhitch.testkit.HeldDial;
+import weldhitch.testkit.HttpUpstream;
+import weldhitch.testkit.Message;
+import weldhitch.testkit.Peer;
+import weldhitch.testkit.Tests;
+import weldhitch.testkit.Wire;
+
+/** What comes between two steps of a request: a list, a close, the end of a window, each while a dial is under way or a request waits. */
+class CrossingTest {
+    /** Attempts last as long as their requests, and dials nearly so. */
+    private static byte[] config(DiscoveryCalls calls, String known, String from, String to) {
+        String config = new String(Harness.config(calls.peer.address(), known, 1024, ""), StandardCharsets.UTF_8)
+            .replace("\"dialTimeoutS\":1.0", "\"dialTimeoutS\":7.5").replace("\"secondCopies\":false", "\"secondCopies\":true");
+        assertTrue(config.contains(from), from);
+        return config.replace(from, to).getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static byte[] config(DiscoveryCalls calls, String known) {
+        return config(calls, known, "", "");
+    }
+
+    /** The dial was begun by a list that no longer holds when it comes up: nothing is written, another server gets the request. */
+    @ParameterizedTest
+    @ValueSource(strings = {"drains", "is gone", "is left out of a whole list", "starts anew", "moves"})
+    void listChangesWhileADialIsUnderWay(String change) throws Exception {
+        try (DiscoveryCalls calls = new DiscoveryCalls(); HeldDial held = new HeldDial(); Peer other = Peer.answering(m -> ok("other"));
+                Harness h = Harness.start(config(calls, host("held", held.address()))); Wire client = h.client()) {
+            calls.next();
+            calls.tell(1, true, host("held", held.address()));
+            client.write(post("1", "body"));
+            held.awaitDial();
+            String changed = switch (change) {
+                case "drains" -> host("held", held.address(), "draining") + ",";
+                case "is gone" -> host("held", held.address(), "gone") + ",";
+                case "starts anew" -> host("held", held.address()).replace("\"born_ms\":0", "\"born_ms\":" + System.currentTimeMillis()) + ",";
+                case "moves" -> host("held", other.address()) + ",";
+                default -> "";
+            };
+            calls.tell(2, changed.isEmpty(), changed + host("other", other.address()));
+            Wire late = held.release();
+            assertTrue(late.ends(), "a request was sent to a server that " + change);
+            assertEquals("other", client.message().text());
+        }
+    }
+
+    /** Where attempts can't be called off, what has not begun when its caller leaves must not begin afterwards. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void callerLeavesWhileADialIsUnderWay(boolean cancel) throws Exception {
+        try (DiscoveryCalls calls = new DiscoveryCalls(); HeldDial held = new HeldDial();
+                Harness h = Harness.start(config(calls, host("held", held.address()), "\"cancel\":true", "\"cancel\":" + cancel));
+                Wire client = h.client(); Wire bystander = h.client()) {
+            calls.next();
+            calls.tell(1, true, host("held", held.address()));
+            client.write(post("1", "body"));
+            held.awaitDial();
+            client.socket.close();
+            Tests.await(() -> h.node.openConnections() == 1);
+            BlockingQueue<String> heads = new LinkedBlockingQueue<>();
+            held.release(wire -> {
+                for (String head = wire.head(); head != null; head = wire.head()) {
+                    heads.add(head);
+                    wire.write(ok("stays"));
+                }
+            });
+            long released = System.nanoTime();
+            bystander.write(get("2"));
+            assertEquals("stays", bystander.message().text());
+            // The dial of the first is tried again a second after it began, if it still is.
+            Tests.await(() -> System.nanoTime() - released > 1_500_000_000L);
+            assertTrue(heads.poll().contains("X-Trace-Id: 2"));
+            assertTrue(heads.isEmpty(), () -> "sent for a caller that has gone: " + heads);
+        }
+    }
+
+    /** Servers forget a key after a while: a repeat that a slow dial kept for longer would run a second time. */
+    @Test
+    void windowForRepeatsEndsWhileADialIsUnderWay() throws Exception {
+        CountDownLatch listed = new CountDownLatch(1);
+        Peer first = new Peer(wire -> {
+            wire.head();
+            wire.bytes(4);
+            listed.await();
+            wire.reset();
+        });
+        try (first; DiscoveryCalls calls = new DiscoveryCalls(); HeldDial held = new HeldDial();
+                Harness h = Harness.start(config(calls, host("first", first.address()), "{\"name\":\"book\",\"effect\":\"non_idempotent\"",
+                    "{\"name\":\"book\",\"effect\":\"idempotency_key\",\"group\":\"all\",\"memorySpanS\":0.5"));
+                Wire client = h.client()) {
+            calls.next();
+            calls.tell(1, true, host("first", first.address()));
+            client.write(post("1", "body").replace("Host:", "Idempotency-Key: k\r\nHost:"));
+            first.connection();
+            calls.tell(2, true, host("held", held.address()));
+            listed.countDown();
+            held.awaitDial();
+            Wire late = held.release();
+            assertTrue(late.ends(), "repeated after its servers forgot it");
+            assertTrue(client.message().status() >= 500);
+        }
+    }
+
+    /**
+     * A caller that sent something ahead was no longer read, so that nobody saw it leave: what it had asked was sent on, and
+     * then what it had sent ahead.
+     */
+    @ParameterizedTest
+    @CsvSource({"1, false", "1, true", "400, false", "400, true", "20000, false"})
+    void callerThatSentAheadLeavesWhileItsRequestWaits(int ahead, boolean reset) throws Exception {
+        try (DiscoveryCalls calls = new DiscoveryCalls(); HttpUpstream server = new HttpUpstream("s");
+                Harness h = Harness.start(config(calls, "")); Wire stays = h.client(); Wire leaves = h.client()) {
+            calls.next();
+            Tests.await(() -> h.node.openConnections() == 2);
+            leaves.write(post("1", "body"));
+            leaves.write(post("2", "x".repeat(40)).repeat(ahead));
+            if (reset) {
+                leaves.reset();
+            } else {
+                leaves.socket.close();
+            }
+            Tests.await(() -> h.node.openConnections() == 1);
+            stays.write(get("3"));
+            calls.tell(1, true, host("s", server.address()));
+            assertEquals(200, stays.message().status());
+            assertEquals(1, server.seen().size(), "sent on for a caller that has gone: " + server.seen());
+        }
+    }
+
+    /** What a caller may send ahead has a bound; what was kept of it is answered, and the connection ends behind that. */
+    @Test
+    void callerThatSendsTooMuchAheadIsAnsweredWhatWasKeptAndNothingTwice() throws Exception {
+        int sent = 20_000;
+        try (DiscoveryCalls calls = new DiscoveryCalls(); HttpUpstream server = new HttpUpstream("s");
+                Harness h = Harness.start(config(calls, "")); Wire client = h.client()) {
+            calls.next();
+            Tests.daemon(() -> {
+                for (int i = 0; i < sent; i++) {
+                    client.write(get(Integer.toString(i)));
+                }
+            });
+            // The first waits for a server until all that may be kept has come.
+            Tests.await(() -> h.node.heldBytes() > 400 * 1024);
+            calls.tell(1, true, host("s", server.address()));
+            int answered = 0;
+            int served = 0;
+            boolean more = true;
+            while (more) {
+                Message m = client.message();
+                more = !"close".equals(m.field("connection"));
+                // The last one kept may lack its end: it has run nowhere, and may be asked again.
+                assertTrue(m.status() == 200 || m.status() == 503 && !more, "status " + m.status() + " of " + answered);
+                assertEquals(m.status() == 200 ? 1 : 0, server.executions(Integer.toString(answered)));
+                served += m.status() == 200 ? 1 : 0;
+                answered++;
+            }
+            assertTrue(answered > 128 && answered < sent, answered + " answered");
+            assertEquals(served, server.seen().size(), "sent on and not answered");
+            assertEquals(0, client.rest().length, "something behind the last answer");
+        }
+    }
+}
--- /dev/null
+++ b/testkit/src/main/java/weldhitch/testkit/HeldDial.java
@@ -0,0 +1,78 @@
+package weldhitch.testkit;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/**
+ * A listener to which dials do not come up until it is released: its backlog is full. The system tries each again a second
+ * after it began, so a dial comes up that long after its start at the soonest.
+ */
+public final class HeldDial implements Closeable {
+    private static final int BACKLOG = 1;
+
+    private final ServerSocket listener;
+    private final List<Closeable> open = new CopyOnWriteArrayList<>();
+
+    public HeldDial() throws IOException {
+        listener = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+        for (int i = 0; i <= BACKLOG; i++) {
+            open.add(new Socket(InetAddress.getLoopbackAddress(), listener.getLocalPort()));
+        }
+    }
+
+    /** Host and port. */
+    public String address() {
+        return "127.0.0.1:" + listener.getLocalPort();
+    }
+
+    /** Waits until a dial to it is under way. */
+    public void awaitDial() {
+        String port = String.format(Locale.ROOT, ":%04X 02", listener.getLocalPort());
+        Tests.await(() -> lines("/proc/net/tcp", port) || lines("/proc/net/tcp6", port));
+    }
+
+    private static boolean lines(String table, String port) {
+        try {
+            return Files.readAllLines(Path.of(table)).stream().anyMatch(line -> line.contains(port));
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** Lets dials come up, and waits for one. */
+    public Wire release() throws IOException {
+        listener.setSoTimeout(Tests.WAIT_S * 1000);
+        for (int i = 0; i <= BACKLOG; i++) {
+            open.add(listener.accept());
+        }
+        Wire wire = new Wire(listener.accept());
+        open.add(wire);
+        return wire;
+    }
+
+    /** Lets dials come up, now and later, and gives each connection to this behaviour. */
+    public void release(Behaviour behaviour) {
+        Tests.daemon(() -> {
+            for (Wire wire = release(); ; wire = new Wire(listener.accept())) {
+                Wire next = wire;
+                Tests.daemon(() -> behaviour.serve(next));
+            }
+        });
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        for (Closeable each : open) {
+            each.close();
+        }
+    }
+}
