Write a request's body once, also where it just fills the write buffer

With its head it passes the high water mark of 64 KiB; written, it made room, channelWritabilityChanged took a whole body for one in pieces and wrote it again, which failed the write. Ruled out: LastCheck (no line of it), a partial write (pending 0). Change: only a body in pieces is written on, and the write is heard of as it happens. Test: seven sizes; those from 65,388 to 65,536 bytes fail without (tried).

--- a/node/src/main/java/weldhitch/node/ServerConnection.java
+++ b/node/src/main/java/weldhitch/node/ServerConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
@@ -70,6 +71,8 @@
     private Attempt attempt;
     private boolean exchanging;
     private boolean requestWritten;
+    /** The request's body goes out piece by piece, as there is room; a small one is written at once. */
+    private boolean inPieces;
     private int nextPiece;
     private boolean interim;
     private boolean answering;
@@ -132,10 +135,12 @@
         CallerRequest x = next.request;
         HttpHeaders headers = Headers.forServer(x, next.until - progressAt);
         if (x.body().size() <= HELD) {
+            inPieces = false;
             ByteBuf body = x.body().size() == 0 ? Unpooled.EMPTY_BUFFER : x.body().whole();
             channel.writeAndFlush(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, x.method(), x.uri(), body, headers,
-                EmptyHttpHeaders.INSTANCE)).addListener(f -> written(next, f.isSuccess()));
+                EmptyHttpHeaders.INSTANCE), whenWritten(next));
         } else {
+            inPieces = true;
             channel.write(new DefaultHttpRequest(HttpVersion.HTTP_1_1, x.method(), x.uri(), headers));
             writePieces();
         }
@@ -150,12 +155,21 @@
             progressAt = clock.now();
             channel.writeAndFlush(new DefaultHttpContent(current.request.body().piece(index)));
             if (last) {
-                channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
-                    .addListener(f -> written(current, f.isSuccess()));
+                channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT, whenWritten(current));
             }
         }
     }
 
+    /**
+     * Hears of the write as it happens: what else happens within it, such as room in the buffer again, finds the attempt
+     * written. A listener added once the call has returned comes after all that.
+     */
+    private ChannelPromise whenWritten(Attempt of) {
+        ChannelPromise promise = channel.newPromise();
+        promise.addListener(f -> written(of, f.isSuccess()));
+        return promise;
+    }
+
     private void written(Attempt of, boolean success) {
         if (success && attempt == of) {
             of.written = true;
@@ -168,7 +182,7 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
-        if (attempt != null && !attempt.written) {
+        if (inPieces && attempt != null && !attempt.written) {
             writePieces();
         }
     }
--- a/node/src/test/java/weldhitch/node/OutcomeTest.java
+++ b/node/src/test/java/weldhitch/node/OutcomeTest.java
@@ -135,6 +135,23 @@
         assertEquals("whole", m.text());
     }
 
+    /**
+     * A body just under 64 KiB fills the write buffer with its head: as there was room in it again, the body went out a second
+     * time, which failed the write, and a request that its server had in full counted as one that never ran.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {65_000, 65_388, 65_535, 65_536, 65_537, 131_072, 200_000})
+    void bodyOfAnySizeIsWrittenOnce(int size) throws Exception {
+        Peer server = Peer.answering(m -> ok(Integer.toString(m.text().length())));
+        try (Harness h = Harness.start(server)) {
+            Message m = h.ask(post("b1", "b".repeat(size)));
+            assertEquals(200, m.status());
+            assertEquals(Integer.toString(size), m.text());
+            assertEquals(1, server.connections.size());
+            assertEquals(1, server.requests.size());
+        }
+    }
+
     /** The write fails with the reset, and the close behind it is no end of the answer either; the request never ran. */
     @Test
     void answerBegunAndResetBeforeTheRequestIsWrittenIsTriedElsewhere() throws Exception {
