Name file, key, found and expected where the configuration makes no sense

Change: settings out of range say what was found and expected, GW_CONFIG's file stands ahead; the node refuses a class without a name. AdapterTest's line now wants found and expected too.

--- a/decision/src/main/java/weldhitch/decision/Balancing.java
+++ b/decision/src/main/java/weldhitch/decision/Balancing.java
@@ -57,10 +57,10 @@
             Objects.requireNonNull(name, "classes.name");
             Objects.requireNonNull(effect, "classes.effect");
             Objects.requireNonNull(group, "classes.group");
-            require(memory >= 0, "classes.memory");
-            require(aim >= 0, "classes.aim");
-            require(deadline >= 0, "classes.deadline");
-            require(worth >= 0, "classes.worth");
+            require(memory >= 0, "classes.memory", memory, "0 or more");
+            require(aim >= 0, "classes.aim", aim, "0 or more");
+            require(deadline >= 0, "classes.deadline", deadline, "0 or more");
+            require(worth >= 0, "classes.worth", worth, "0 or more");
         }
     }
 
@@ -68,7 +68,7 @@
     public record Tenant(String name, double quotaPerSecond) {
         public Tenant {
             Objects.requireNonNull(name, "tenants.name");
-            require(quotaPerSecond >= 0, "tenants.quotaPerSecond");
+            require(quotaPerSecond >= 0, "tenants.quotaPerSecond", quotaPerSecond, "0 or more");
         }
     }
 
@@ -76,9 +76,9 @@
     public record Limits(int maxAttempts, boolean secondCopies, boolean cancel, boolean probes,
             boolean retryAfter, long maxRetryAfter, long connectTimeout) {
         public Limits {
-            require(maxAttempts >= 1, "limits.maxAttempts");
-            require(maxRetryAfter >= 0, "limits.maxRetryAfter");
-            require(connectTimeout >= 0, "limits.connectTimeout");
+            require(maxAttempts >= 1, "limits.maxAttempts", maxAttempts, "1 or more");
+            require(maxRetryAfter >= 0, "limits.maxRetryAfter", maxRetryAfter, "0 or more");
+            require(connectTimeout >= 0, "limits.connectTimeout", connectTimeout, "0 or more");
         }
     }
 
@@ -86,13 +86,13 @@
     public record Rules(double startCapacity, long coldSpan, double fallMultiple, long fallSpan,
             long drainGrace, long answerSlack, long askEvery) {
         public Rules {
-            require(startCapacity >= 0 && startCapacity <= 1, "rules.startCapacity");
-            require(coldSpan >= 0, "rules.coldSpan");
-            require(fallMultiple >= 0, "rules.fallMultiple");
-            require(fallSpan >= 0, "rules.fallSpan");
-            require(drainGrace >= 0, "rules.drainGrace");
-            require(answerSlack >= 0, "rules.answerSlack");
-            require(askEvery >= 0, "rules.askEvery");
+            require(startCapacity >= 0 && startCapacity <= 1, "rules.startCapacity", startCapacity, "0 to 1");
+            require(coldSpan >= 0, "rules.coldSpan", coldSpan, "0 or more");
+            require(fallMultiple >= 0, "rules.fallMultiple", fallMultiple, "0 or more");
+            require(fallSpan >= 0, "rules.fallSpan", fallSpan, "0 or more");
+            require(drainGrace >= 0, "rules.drainGrace", drainGrace, "0 or more");
+            require(answerSlack >= 0, "rules.answerSlack", answerSlack, "0 or more");
+            require(askEvery >= 0, "rules.askEvery", askEvery, "0 or more");
         }
     }
 
@@ -109,14 +109,14 @@
             Objects.requireNonNull(limits, "limits");
             Objects.requireNonNull(rules, "rules");
             Objects.requireNonNull(weights, "weights");
-            require(zones.size() < 2 || (zone != null && !zone.isEmpty()), "zone");
-            require(tier >= 0, "tier");
-            require(siblings >= 1, "siblings");
-            require(self >= 0, "self");
-            require(!classes.isEmpty(), "classes");
-            require(overShareWorth >= 0, "overShareWorth");
-            require(crossZonePrice >= 0, "crossZonePrice");
-            require(tick >= 0, "tick");
+            require(zones.size() < 2 || (zone != null && !zone.isEmpty()), "zone", zone, "the zone of this node, as there are several");
+            require(tier >= 0, "tier", tier, "0 or more");
+            require(siblings >= 1, "siblings", siblings, "1 or more");
+            require(self >= 0, "self", self, "0 or more");
+            require(!classes.isEmpty(), "classes", "none", "one class or more");
+            require(overShareWorth >= 0, "overShareWorth", overShareWorth, "0 or more");
+            require(crossZonePrice >= 0, "crossZonePrice", crossZonePrice, "0 or more");
+            require(tick >= 0, "tick", tick, "0 or more");
         }
     }
 
@@ -242,9 +242,9 @@
         return server.hashCode() * 0x9E3779B1 >>> 1;
     }
 
-    private static void require(boolean sound, String setting) {
+    private static void require(boolean sound, String setting, Object found, String expected) {
         if (!sound) {
-            throw new IllegalArgumentException("setting out of range: " + setting);
+            throw new IllegalArgumentException("setting out of range: " + setting + ": found " + found + ", expected " + expected);
         }
     }
 }
--- a/decision/src/main/java/weldhitch/decision/FlatSettings.java
+++ b/decision/src/main/java/weldhitch/decision/FlatSettings.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeSet;
 import weldhitch.decision.Balancing.*;
 
 /**
@@ -31,8 +32,8 @@
     public static final class MalformedSettingException extends IllegalArgumentException {
         private static final long serialVersionUID = 1L;
 
-        MalformedSettingException(String path, String wrong, String value) {
-            super("setting " + path + " " + wrong + ": " + value);
+        MalformedSettingException(String path, String value, String expected) {
+            super("setting " + path + ": found " + value + ", expected " + expected);
         }
     }
 
@@ -87,7 +88,7 @@
         try {
             return value.isEmpty() ? otherwise : Double.parseDouble(value);
         } catch (NumberFormatException e) {
-            throw new MalformedSettingException(path, "is not a number", value);
+            throw new MalformedSettingException(path, value, "a number");
         }
     }
 
@@ -108,7 +109,7 @@
         }
         T known = words.get(value);
         if (known == null) {
-            throw new MalformedSettingException(path, "has an unknown word", value);
+            throw new MalformedSettingException(path, value, "one of " + String.join(", ", new TreeSet<>(words.keySet())));
         }
         return known;
     }
--- a/node/src/main/java/weldhitch/node/NodeConfig.java
+++ b/node/src/main/java/weldhitch/node/NodeConfig.java
@@ -37,7 +37,11 @@
         } catch (IOException | java.nio.file.InvalidPathException e) {
             throw new InvalidConfigException("GW_CONFIG: cannot read " + file + ": " + e);
         }
-        return parse(json, environment);
+        try {
+            return parse(json, environment);
+        } catch (InvalidConfigException e) {
+            throw new InvalidConfigException("GW_CONFIG " + file + ": " + e.getMessage().replaceFirst("^GW_CONFIG: ", ""));
+        }
     }
 
     /**
@@ -82,13 +86,18 @@
             }
         });
         if (pairs.isEmpty()) {
-            throw new InvalidConfigException("settings: missing");
+            throw new InvalidConfigException("settings: found none, expected the object that the platform's page describes");
         }
         try {
-            FlatSettings settings = new FlatSettings(pairs);
-            long keepalive = settings.span("limits.keepaliveS");
+            FlatSettings flatSettings = new FlatSettings(pairs);
+            Settings settings = flatSettings.settings();
+            if (settings.classes().stream().anyMatch(c -> c.name().isEmpty())) {
+                // Requests name their class, so nothing could ever be asked of this one.
+                throw new InvalidConfigException("settings: classes.name: found none, expected the name of a class");
+            }
+            long keepalive = flatSettings.span("limits.keepaliveS");
             return new NodeConfig(flat.getOrDefault("name", ""), address(flat, "listen"),
-                address(flat, "discovery"), seed(flat), sockets(flat), known, settings.settings(),
+                address(flat, "discovery"), seed(flat), sockets(flat), known, settings,
                 keepalive > 0 ? keepalive : USUAL_KEEPALIVE);
         } catch (IllegalArgumentException e) {
             throw new InvalidConfigException("settings: " + e.getMessage());
@@ -100,7 +109,8 @@
         try {
             return Roster.address(text);
         } catch (IOException e) {
-            throw new InvalidConfigException(name + ": " + (text.isEmpty() ? "missing" : e.getMessage()));
+            throw new InvalidConfigException(name + ": found " + (text.isEmpty() ? "none" : text)
+                + ", expected an address in digits and a port");
         }
     }
 
@@ -108,7 +118,7 @@
         try {
             return Long.parseUnsignedLong(flat.getOrDefault("seed", ""), 16);
         } catch (NumberFormatException e) {
-            throw new InvalidConfigException("seed: not 16 hex digits: " + flat.getOrDefault("seed", "missing"));
+            throw new InvalidConfigException("seed: found " + flat.getOrDefault("seed", "none") + ", expected up to 16 hex digits");
         }
     }
 
@@ -122,8 +132,8 @@
         } catch (NumberFormatException e) {
             // reported below, like a number that is too small
         }
-        throw new InvalidConfigException("limits.sockets: not a number from 100 on: "
-            + (text.isEmpty() ? "missing" : text));
+        throw new InvalidConfigException("limits.sockets: found " + (text.isEmpty() ? "none" : text)
+            + ", expected a number of 100 or more");
     }
 
     private static void flatten(JsonParser p, String path, Map<String, String> flat) throws IOException {
--- a/node/src/test/java/weldhitch/node/ConfigTest.java
+++ b/node/src/test/java/weldhitch/node/ConfigTest.java
@@ -5,9 +5,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.Map;
 import weldhitch.decision.Balancing.Effect;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 
 /** What the configuration says, and what is said about one that makes no sense. */
 class ConfigTest {
@@ -63,6 +66,30 @@
             () -> NodeConfig.load(Map.of("GW_CONFIG", "/nowhere/at/all")));
     }
 
+    /** One line that names file, key, found and expected, and the exit code that says so. */
+    @Test
+    void settingsThatMakeNoSenseAreNamedWithFileKeyFoundAndExpected(@TempDir Path dir) throws Exception {
+        String[][] wrong = {
+            {"\"deadlineS\":8.0}", "\"deadlineS\":-8.0}", "classes.deadline", "-8", "0 or more"},
+            {"\"aimS\":4.0", "\"aimS\":4.0,\"memorySpanS\":-0.5", "classes.memory", "-500000000", "0 or more"},
+            {"\"name\":\"read\"", "\"name\":\"\"", "classes.name", "none", "name of a class"},
+            {"\"effect\":\"read_like\"", "\"effect\":\"odd\"", "classes.0.effect", "odd", "idempotency_key"},
+            {"\"maxAttempts\":4", "\"maxAttempts\":0", "limits.maxAttempts", "0", "1 or more"},
+            {"\"coldS\":5", "\"coldS\":\"soon\"", "rules.coldS", "soon", "a number"},
+            {"\"sockets\":500", "\"sockets\":5", "limits.sockets", "5", "100 or more"},
+            {"\"listen\":\"127.0.0.1:0\"", "\"listen\":\"here\"", "listen", "here", "an address"}};
+        for (String[] each : wrong) {
+            assertTrue(SOUND.contains(each[0]), each[0]);
+            Path file = Files.writeString(dir.resolve("config.json"), SOUND.replace(each[0], each[1]));
+            String message = assertThrows(NodeConfig.InvalidConfigException.class,
+                () -> NodeConfig.load(Map.of("GW_CONFIG", file.toString()))).getMessage();
+            assertTrue(message.startsWith("GW_CONFIG " + file + ": "), message);
+            assertTrue(message.contains(each[2]) && message.contains("found " + each[3]) && message.contains("expected ")
+                && message.contains(each[4]), message);
+            assertEquals(1, message.lines().count(), message);
+        }
+    }
+
     @Test
     void bornTimesConvertByOneRule() {
         assertEquals(0, Clock.ofMillis(0));
--- a/node/src/test/java/weldhitch/wire/AdapterTest.java
+++ b/node/src/test/java/weldhitch/wire/AdapterTest.java
@@ -73,7 +73,7 @@
     @Test
     void settingsThatMakeNoSenseAreTheInstancesFault() throws IOException {
         String reply = answer("BATCH 1 1", "BEGIN 6 1 " + SETTINGS.replace("siblings=2", "siblings=0"), "COMMIT");
-        assertTrue(reply.matches("GIVE_IN 6 .*siblings\nYIELD 1\n"), reply);
+        assertTrue(reply.matches("GIVE_IN 6 .*siblings: found 0, expected 1 or more\nYIELD 1\n"), reply);
     }
 
     @Test
