Let a process's start stand in NodeService, so that Node does not know what carries it

Cause: Node.main started NodeService, which uses Node: HouseTest's rule against circles between the node's classes failed in the whole build. Change: the entry moved along. Measured: HouseTest passes; the whole build follows.

--- a/node/src/main/java/weldhitch/Main.java
+++ b/node/src/main/java/weldhitch/Main.java
@@ -9,11 +9,11 @@
 
     public static void main(String[] args) throws IOException {
         if (args.length == 3 && args[0].equals("serve") && args[1].equals("--operator")) {
-            weldhitch.node.Node.main(java.nio.file.Path.of(args[2]));
+            weldhitch.node.NodeService.main(java.nio.file.Path.of(args[2]));
             return;
         }
         switch (args.length == 1 ? args[0] : "") {
-            case "serve" -> weldhitch.node.Node.main(null);
+            case "serve" -> weldhitch.node.NodeService.main(null);
             case "adapter" -> weldhitch.wire.Main.main(args);
             default -> {
                 System.err.println("usage: weldhitch serve [--operator FILE] | adapter");
--- a/node/src/main/java/weldhitch/node/Node.java
+++ b/node/src/main/java/weldhitch/node/Node.java
@@ -25,7 +25,6 @@
     /** How long a node that hears nothing of discovery waits before it works by the list it was started with. */
     private static final long WAIT_FOR_LIST = 1_000_000_000L;
     private static final long LONGEST_DRAIN_S = 10;
-    private static final int EXIT_CONFIG = 78;
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final Clock clock = new Clock();
@@ -55,23 +54,6 @@
         this.operator = operator;
     }
 
-    /**
-     * Runs a node as the environment says, until it is told to stop.
-     *
-     * @param operator the operator file, or null for none
-     */
-    public static void main(Path operator) {
-        try {
-            new NodeService(System.getenv(), Signals.ofProcess()).start(operator);
-        } catch (NodeConfig.InvalidConfigException e) {
-            System.err.println("weldhitch: " + e.getMessage());
-            System.exit(EXIT_CONFIG);
-        } catch (Exception e) {
-            System.err.println("weldhitch: cannot start: " + e);
-            System.exit(1);
-        }
-    }
-
     /**
      * What a configuration file says of the platform, for checks away from any node.
      *
--- a/node/src/main/java/weldhitch/node/NodeService.java
+++ b/node/src/main/java/weldhitch/node/NodeService.java
@@ -12,7 +12,9 @@
  * A node as a process: carries out what {@link LifeCycle} says of each signal. It listens to signals before anybody can connect,
  * as without handlers of its own the runtime ends the process on them, and what the node has taken by then is lost.
  */
-final class NodeService {
+public final class NodeService {
+    private static final int EXIT_CONFIG = 78;
+
     private final Map<String, String> environment;
     /** Guarded by itself: signals come on threads of their own. */
     private final LifeCycle life = new LifeCycle();
@@ -24,6 +26,23 @@
         signals.onTerminate(this::end);
     }
 
+    /**
+     * Runs a node as the environment says, until it is told to stop.
+     *
+     * @param operator the operator file, or null for none
+     */
+    public static void main(Path operator) {
+        try {
+            new NodeService(System.getenv(), Signals.ofProcess()).start(operator);
+        } catch (NodeConfig.InvalidConfigException e) {
+            System.err.println("weldhitch: " + e.getMessage());
+            System.exit(EXIT_CONFIG);
+        } catch (Exception e) {
+            System.err.println("weldhitch: cannot start: " + e);
+            System.exit(1);
+        }
+    }
+
     /** Starts the node and returns when it listens, or, where it was told to end before, without one that does. */
     Node start(Path operator) throws Exception {
         NodeConfig config = NodeConfig.load(environment);
