Hold the ports of later listeners, so that no connection takes them first

StewardedFleet looked up free ports of its stewards, let them go, started twelve nodes and then the stewards; each of the nodes' outgoing connections could have been given such a port in between, and one was. Ruled out: a steward's own fault (it ended with 78 and named the address, as it should; s1 and s3 had version 1 in force), two rigs at once (failsafe runs one class after another). Change: HeldPort in testkit binds a socket that does not listen; the system then gives the port to nobody else, dials are refused, and a listener that names it may have it, also again. All tests that looked up a port use it. The demonstration no longer looks one up either: its node takes any port and says which.

--- a/cli/src/main/java/weldhitch/cli/Demo.java
+++ b/cli/src/main/java/weldhitch/cli/Demo.java
@@ -2,14 +2,14 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.ParameterException;
@@ -48,8 +48,7 @@
             for (int i = 1; i <= count; i++) {
                 startServer("s" + i, discovery);
             }
-            int listen = port == 0 ? freePort() : port;
-            Files.writeString(config, config(listen, discovery));
+            Files.writeString(config, config(port, discovery));
             List<String> serve = new ArrayList<>(List.of("-Xmx64m", "-cp", jar(), "weldhitch.Main", "serve"));
             if (operator != null) {
                 serve.addAll(List.of("--operator", operator.toString()));
@@ -57,10 +56,13 @@
             Process node = start(serve, config);
             try (BufferedReader log = node.errorReader(StandardCharsets.UTF_8)) {
                 String line = log.readLine();
-                if (line == null || !line.contains("listens on")) {
+                // A node that is to take any free port says which it has: one looked up here could be gone by then.
+                Matcher listens = Pattern.compile("listens on .*:(\\d+)$").matcher(String.valueOf(line));
+                if (!listens.find()) {
                     System.err.println("weldhitch: the node did not start: " + line);
                     return 1;
                 }
+                String listen = listens.group(1);
                 System.out.println("The node listens. A safe request, which may be tried again:");
                 System.out.println("    curl -H 'X-Trace-Id: '$RANDOM$RANDOM http://127.0.0.1:" + listen + "/look-up");
                 System.out.println("An unsafe one, which never runs twice:");
@@ -117,12 +119,6 @@
         return System.getProperty("java.class.path");
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        }
-    }
-
     private static String config(int listen, DemoDiscovery discovery) {
         return """
             {"name":"demo-%d","listen":"127.0.0.1:%d","discovery":"%s","seed":"0f","limits":{"sockets":256},
--- a/cli/src/test/java/weldhitch/cli/StewardedFleet.java
+++ b/cli/src/test/java/weldhitch/cli/StewardedFleet.java
@@ -4,7 +4,6 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -16,6 +15,7 @@
 import java.util.Map;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import weldhitch.testkit.HeldPort;
 import weldhitch.testkit.Message;
 import weldhitch.testkit.Tests;
 import weldhitch.testkit.Wire;
@@ -28,12 +28,12 @@
 class StewardedFleet extends NodeFleet {
     private static final ObjectMapper JSON = new ObjectMapper();
 
-    /** Ports of stewards, chosen before anything starts. */
-    private static final ThreadLocal<Map<String, Integer>> PORTS = ThreadLocal.withInitial(LinkedHashMap::new);
+    /** Ports of stewards, chosen before anything starts, and kept from whatever connects until they do. */
+    private static final ThreadLocal<Map<String, HeldPort>> PORTS = ThreadLocal.withInitial(LinkedHashMap::new);
 
     private static final ThreadLocal<String> ODD = new ThreadLocal<>();
 
-    final Map<String, Integer> ports;
+    private final Map<String, HeldPort> ports;
     private final Path directory = Files.createTempDirectory("weldhitch-stewards");
     private int laid;
 
@@ -47,8 +47,8 @@
         super(nodeCount, odd(odd, serverCount), 5, 0, false, c -> new ListServiceStandIn(c, 200, 20, 1000), (name, fleet) -> {
             StringBuilder stewards = new StringBuilder();
             for (int i = 1; i <= stewardCount; i++) {
-                int port = PORTS.get().computeIfAbsent("s" + i, s -> freePort());
-                stewards.append(i == 1 ? "" : ", ").append('"').append(fleet.link(name + ">s" + i, "127.0.0.1:" + port)).append('"');
+                HeldPort port = PORTS.get().computeIfAbsent("s" + i, s -> heldPort());
+                stewards.append(i == 1 ? "" : ", ").append('"').append(fleet.link(name + ">s" + i, port.address())).append('"');
             }
             return "version = 1\n[fleet]\ncluster = \"test\"\nstewards = [" + stewards + "]\ntell-version = true\n# end\n";
         });
@@ -60,11 +60,11 @@
             Path own = Files.createDirectories(directory.resolve(name));
             StringBuilder others = new StringBuilder();
             for (int j = 1; j <= stewardCount; j++) {
-                others.append("s").append(j).append(" = \"").append(i == j ? "127.0.0.1:" + ports.get("s" + j)
-                    : link(name + ">s" + j, "127.0.0.1:" + ports.get("s" + j))).append("\"\n");
+                others.append("s").append(j).append(" = \"").append(i == j ? ports.get("s" + j).address()
+                    : link(name + ">s" + j, ports.get("s" + j).address())).append("\"\n");
             }
             Path config = own.resolve("steward.toml");
-            Files.writeString(config, "version = 1\nname = \"" + name + "\"\ncluster = \"test\"\nlisten = \"127.0.0.1:" + ports.get(name)
+            Files.writeString(config, "version = 1\nname = \"" + name + "\"\ncluster = \"test\"\nlisten = \"" + ports.get(name).address()
                 + "\"\ndirectory = \"" + own + "\"\n" + settings + "[timing]\nauthority = \"1s\"\nlease = \"1500ms\"\nlead = \"300ms\"\nvote = \"6s\"\n"
                 + "[stewards]\n" + others);
             processes.put(name, new Program(chronicle, name, List.of("java", "-Xmx64m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-jar",
@@ -83,9 +83,9 @@
         return serverCount;
     }
 
-    private static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
+    private static HeldPort heldPort() {
+        try {
+            return new HeldPort();
         } catch (IOException e) {
             throw new java.io.UncheckedIOException(e);
         }
@@ -106,7 +106,7 @@
         if (!processes.get(steward).running()) {
             return null;
         }
-        try (Wire wire = new Wire(new Socket(InetAddress.getLoopbackAddress(), ports.get(steward)))) {
+        try (Wire wire = new Wire(new Socket(InetAddress.getLoopbackAddress(), ports.get(steward).number()))) {
             wire.write("GET /v1/state HTTP/1.1\r\nHost: s\r\n\r\n");
             Message answer = wire.message();
             return answer == null ? null : JSON.readTree(answer.text());
@@ -242,6 +242,9 @@
     @Override
     public void close() throws IOException {
         super.close();
+        for (HeldPort port : ports.values()) {
+            port.close();
+        }
         try (Stream<Path> all = Files.walk(directory)) {
             for (Path each : all.sorted(Comparator.reverseOrder()).toList()) {
                 Files.deleteIfExists(each);
--- a/node/src/test/java/weldhitch/node/CaptureMeasure.java
+++ b/node/src/test/java/weldhitch/node/CaptureMeasure.java
@@ -14,6 +14,7 @@
 import org.HdrHistogram.Histogram;
 import weldhitch.capture.format.CaptureFiles;
 import weldhitch.replay.Player;
+import weldhitch.testkit.HeldPort;
 import weldhitch.testkit.Peer;
 import weldhitch.testkit.Wire;
 
@@ -78,10 +79,11 @@
             hosts.append(i == 0 ? "" : ",").append(Harness.host("s" + i, servers.get(i).address()));
         }
         Files.writeString(operator, "version = 1\n" + (captured == null ? "" : "[capture]\ndirectory = \"" + captured + "\"\n") + "# end\n");
-        int port = NodeProcess.freePort();
-        try (Peer discovery = Harness.discovery(hosts.toString())) {
+        HeldPort held = new HeldPort();
+        int port = held.number();
+        try (held; Peer discovery = Harness.discovery(hosts.toString())) {
             Files.writeString(config, new String(Harness.config(discovery.address(), hosts.toString(), 1024, ""), StandardCharsets.UTF_8)
-                .replace("127.0.0.1:0", "127.0.0.1:" + port));
+                .replace("127.0.0.1:0", held.address()));
             ProcessBuilder run = PackagedNodeIT.run();
             run.command().set(2, run.command().get(2) + " --operator " + operator);
             run.environment().put("GW_CONFIG", config.toString());
--- a/node/src/test/java/weldhitch/node/NodeProcess.java
+++ b/node/src/test/java/weldhitch/node/NodeProcess.java
@@ -4,7 +4,6 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -12,6 +11,7 @@
 import java.util.function.UnaryOperator;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import weldhitch.testkit.HeldPort;
 import weldhitch.testkit.Message;
 import weldhitch.testkit.Peer;
 import weldhitch.testkit.Wire;
@@ -24,11 +24,13 @@
     private final Path config;
     private final Peer server;
     private final Peer discovery;
+    /** Where nobody listens. */
+    private final HeldPort gone = new HeldPort();
 
     /** @param change what becomes of the command that the deploy file names */
     NodeProcess(UnaryOperator<String> change) throws Exception {
         server = Peer.answering(NodeProcess::answer);
-        String hosts = Harness.host("s", server.address()) + "," + Harness.host("gone", "127.0.0.1:" + freePort());
+        String hosts = Harness.host("s", server.address()) + "," + Harness.host("gone", gone.address());
         discovery = Harness.discovery(hosts);
         config = Files.createTempFile("weldhitch", ".json");
         Files.write(config, Harness.config(discovery.address(), hosts, 1024, ""));
@@ -120,16 +122,11 @@
         }
     }
 
-    static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        }
-    }
-
     @Override
     public void close() throws IOException {
         process.destroyForcibly();
         log.close();
+        gone.close();
         if (server != null) {
             server.close();
             discovery.close();
--- a/node/src/test/java/weldhitch/node/OutcomeTest.java
+++ b/node/src/test/java/weldhitch/node/OutcomeTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import weldhitch.decision.ReuseTrust;
+import weldhitch.testkit.HeldPort;
 import weldhitch.testkit.Message;
 import weldhitch.testkit.Peer;
 import weldhitch.testkit.Wire;
@@ -230,13 +231,10 @@
 
     @Test
     void refusedConnectionIsTriedElsewhere() throws Exception {
-        String nobody;
-        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            nobody = "127.0.0.1:" + s.getLocalPort();
-        }
         Peer server = Peer.answering(m -> ok("done"));
-        String hosts = Harness.host("dead", nobody) + "," + Harness.host("live", server.address());
-        try (Peer discovery = Harness.discovery(hosts);
+        HeldPort nobody = new HeldPort();
+        String hosts = Harness.host("dead", nobody.address()) + "," + Harness.host("live", server.address());
+        try (nobody; Peer discovery = Harness.discovery(hosts);
                 Harness h = Harness.start(Harness.config(discovery.address(), hosts, 1024, ""))) {
             for (int i = 0; i < 10; i++) {
                 assertEquals("done", h.ask(post("b" + i, "x")).text());
@@ -352,17 +350,14 @@
 
     @Test
     void dialsThatFailedMakeRoomForFurtherDials() throws Exception {
-        int port;
-        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            port = s.getLocalPort();
-        }
-        String hosts = Harness.host("s", "127.0.0.1:" + port);
-        try (Peer discovery = Harness.discovery(hosts);
+        HeldPort port = new HeldPort();
+        String hosts = Harness.host("s", port.address());
+        try (port; Peer discovery = Harness.discovery(hosts);
                 Harness h = Harness.start(Harness.config(discovery.address(), hosts, 100, ""))) {
             for (int i = 0; i < 4; i++) {
                 assertEquals(503, h.ask(post("i" + i, "x")).status(), "request " + i);
             }
-            try (ServerSocket back = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+            try (ServerSocket back = new ServerSocket(port.number(), 1, InetAddress.getLoopbackAddress())) {
                 back.setSoTimeout(Tests.WAIT_S * 1000);
                 Wire client = h.client();
                 client.write(post("j", "x"));
--- a/node/src/test/java/weldhitch/node/RestartMeasure.java
+++ b/node/src/test/java/weldhitch/node/RestartMeasure.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import weldhitch.testkit.HeldPort;
 import weldhitch.testkit.Peer;
 import weldhitch.testkit.Wire;
 import weldhitch.testkit.Tests;
@@ -43,12 +44,13 @@
     private static int restart(boolean asked, List<Long> ready, List<Long> closed, List<Long> ended) throws Exception {
         Path config = Files.createTempFile("restart", ".json");
         Peer server = Peer.answering(m -> Harness.ok("x"));
-        int port = NodeProcess.freePort();
+        HeldPort held = new HeldPort();
+        int port = held.number();
         String hosts = Harness.host("s", server.address());
-        try (Peer discovery = Harness.discovery(hosts)) {
+        try (held; Peer discovery = Harness.discovery(hosts)) {
             // The classes of the service it was built for: 3 s at the longest, wanted within 1.2 s.
             String json = new String(Harness.config(discovery.address(), hosts, 1024, ""), StandardCharsets.UTF_8)
-                .replace("127.0.0.1:0", "127.0.0.1:" + port).replace("\"aimS\":4.0", "\"aimS\":1.2")
+                .replace("127.0.0.1:0", held.address()).replace("\"aimS\":4.0", "\"aimS\":1.2")
                 .replace("\"deadlineS\":8.0", "\"deadlineS\":3.0");
             Files.writeString(config, json);
             ProcessBuilder run = PackagedNodeIT.run();
--- a/node/src/test/java/weldhitch/node/SignalsTest.java
+++ b/node/src/test/java/weldhitch/node/SignalsTest.java
@@ -16,8 +16,11 @@
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import weldhitch.testkit.HeldPort;
 import weldhitch.testkit.Peer;
 import weldhitch.testkit.Tests;
 
@@ -26,6 +29,18 @@
     @TempDir
     Path dir;
 
+    private HeldPort port;
+
+    @BeforeEach
+    void holdPort() throws IOException {
+        port = new HeldPort();
+    }
+
+    @AfterEach
+    void letPortGo() throws IOException {
+        port.close();
+    }
+
     /** Signals that a test raises; at once, where it says so, as if they had come in the first moment in which they can be heard. */
     private static final class Raised implements Signals {
         Runnable reload;
@@ -70,7 +85,7 @@
     @Test
     void signalsAreHeardBeforeAnybodyCanConnect() throws Exception {
         Raised signals = new Raised();
-        signals.port = NodeProcess.freePort();
+        signals.port = port.number();
         try (Peer server = Peer.answering(m -> ok("x")); Peer discovery = Harness.discovery(host("s", server.address()))) {
             Path config = Files.write(dir.resolve("config"), Harness.config(discovery.address(), host("s", server.address()), 1024, ""));
             Node node = new NodeService(environment(config, signals.port), signals).start(null);
@@ -84,7 +99,7 @@
     void newConfigurationToldBeforeItListensIsTakenUpOnceItDoes() throws Exception {
         Raised signals = new Raised();
         signals.hangUpAtOnce = true;
-        signals.port = NodeProcess.freePort();
+        signals.port = port.number();
         try (DiscoveryCalls calls = new DiscoveryCalls()) {
             Path config = Files.write(dir.resolve("config"), Harness.config("127.0.0.1:9", "", 1024, ""));
             Map<String, String> environment = Map.of("GW_CONFIG", config.toString(), "GW_LISTEN", "127.0.0.1:" + signals.port,
@@ -101,7 +116,7 @@
     void toldToEndBeforeItListensItNeverDoes() throws Exception {
         Raised signals = new Raised();
         signals.terminateAtOnce = true;
-        signals.port = NodeProcess.freePort();
+        signals.port = port.number();
         Path config = Files.write(dir.resolve("config"), Harness.config("127.0.0.1:9", "", 1024, ""));
         new NodeService(environment(config, signals.port), signals).start(null);
         assertFalse(signals.connects());
@@ -111,7 +126,7 @@
     @Test
     void theNewestConfigurationIsTakenUpLast() throws Exception {
         Raised signals = new Raised();
-        signals.port = NodeProcess.freePort();
+        signals.port = port.number();
         try (DiscoveryCalls older = new DiscoveryCalls(); DiscoveryCalls newer = new DiscoveryCalls()) {
             Path config = Files.write(dir.resolve("config"), Harness.config("127.0.0.1:9", "", 1024, ""));
             Node node = new NodeService(environment(config, signals.port), signals).start(null);
--- /dev/null
+++ b/testkit/src/test/java/weldhitch/testkit/HeldPortTest.java
@@ -0,0 +1,37 @@
+package weldhitch.testkit;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.net.BindException;
+import java.net.ConnectException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import org.junit.jupiter.api.Test;
+
+class HeldPortTest {
+    /** What the system asks before it gives a port to an outgoing connection or to one who wants any. */
+    @Test
+    void nobodyElseGetsIt() throws Exception {
+        try (HeldPort port = new HeldPort(); Socket other = new Socket()) {
+            other.setReuseAddress(false);
+            assertThrows(BindException.class, () -> other.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port.number())));
+        }
+    }
+
+    @Test
+    void dialsAreRefusedUntilItsListenerComesWhichMayComeAgain() throws Exception {
+        try (HeldPort port = new HeldPort()) {
+            for (int i = 0; i < 3; i++) {
+                assertThrows(ConnectException.class, () -> new Socket(InetAddress.getLoopbackAddress(), port.number()).close());
+                try (ServerSocket listener = new ServerSocket(port.number(), 1, InetAddress.getLoopbackAddress());
+                        Socket dialled = new Socket(InetAddress.getLoopbackAddress(), port.number());
+                        Socket accepted = listener.accept()) {
+                    assertEquals(dialled.getLocalPort(), accepted.getPort());
+                }
+            }
+        }
+    }
+}
