Give up an attempt only for a further one that is paid for, and not on a first guess

What the two settings part is second copies: where none are allowed, RatioBalancer.dispatch gave each attempt `usual + 4 x deviation` and gave it up after that. For a class that nobody had answered, that was a quarter of its aim and a deviation of 0: every answer slower than that was given up, servers worked on, and nothing was ever learned from them. And given up it was also where no further attempt could be paid for, so the request was lost. Change: where one is given up for the other, its time is that of RFC 6298 (the aim before any answer, a deviation of half the round trip after one), and what the further one costs is put aside at the sending; with nothing to put aside the attempt may take all the time there is. The first two new tests fail without the mend (tried), the first one also where only the paying is kept.

--- a/capture/src/main/java/weldhitch/capture/format/Documents.java
+++ b/capture/src/main/java/weldhitch/capture/format/Documents.java
@@ -60,7 +60,10 @@
         return new Entry.Known(now, read.node, read.run, read.build, read.settings, read.snapshot, read.missed);
     }
 
-    /** Snapshots of form 1 did not know what warm servers carried: 0 stands for that. Those before form 3 knew no zones. */
+    /**
+     * Snapshots of form 1 did not know what warm servers carried: 0 stands for that. Those before form 3 knew no zones, and
+     * before form 4 no attempt whose successor was paid for.
+     */
     private static void upgrade(ObjectNode snapshot) {
         if (snapshot.path("version").asInt() == 1) {
             snapshot.put("version", 2).put("carried", 0.0).put("carriedAt", 0L);
@@ -69,6 +72,11 @@
             snapshot.put("version", 3);
             snapshot.path("requests").forEach(request -> ((ObjectNode) request).putNull("zones"));
         }
+        if (snapshot.path("version").asInt() == 3) {
+            snapshot.put("version", 4);
+            snapshot.path("requests").forEach(request ->
+                request.path("attempts").forEach(attempt -> ((ObjectNode) attempt).put("successorPaid", false)));
+        }
     }
 
     static byte[] routes(Routes routes) {
--- a/decision/src/main/java/weldhitch/decision/Attempt.java
+++ b/decision/src/main/java/weldhitch/decision/Attempt.java
@@ -10,6 +10,8 @@
     boolean neverRan;
     /** A further one was sent because this one took too long. */
     boolean overstayed;
+    /** What a further one costs has been put aside, as this one is given up when it takes too long. */
+    boolean successorPaid;
     /** Its answer has begun, and is the final one. */
     boolean streaming;
 
--- a/decision/src/main/java/weldhitch/decision/ClassUse.java
+++ b/decision/src/main/java/weldhitch/decision/ClassUse.java
@@ -41,6 +41,14 @@
         return Math.max(1, Math.max(trip / 5, trip + Math.max(0, slope) * (hint - cost)));
     }
 
+    /**
+     * How long an attempt may take before it is given up for a further one, its work lost: as RFC 6298 has it for
+     * retransmission, where a single measurement counts for a deviation of half of it and none for nothing.
+     */
+    long timeout(double hint) {
+        return seen == 0 ? Math.max(about.aim(), (long) usual(hint)) : (long) (usual(hint) + 4 * Math.max(deviation, usual(hint) / (1 + seen)));
+    }
+
     /** How long an attempt may take before a further one is worth its work. */
     long patience(double hint) {
         return (long) (usual(hint) + 4 * deviation);
--- a/decision/src/main/java/weldhitch/decision/RatioBalancer.java
+++ b/decision/src/main/java/weldhitch/decision/RatioBalancer.java
@@ -263,20 +263,40 @@
             wakeAt(r, Math.min(lastMoment(r), now + HOLD_STEP));
             return;
         }
-        server.sent(r.send(server, now));
+        Attempt attempt = r.send(server, now);
+        server.sent(attempt);
         long patience = r.patience();
         boolean copies = settings.limits().secondCopies();
         long hedge = copies && r.route != null && r.use.about.effect() == Effect.SAFE
             ? r.route.hedgeAfter(patience) : patience;
         boolean repeatable = r.use.about.effect() != Effect.UNSAFE && r.attempts.size() < maxAttempts(r)
             && hedge > 0 && now + hedge < r.deadline;
-        long timeout = repeatable && !copies ? patience : 0;
+        long timeout = repeatable && !copies ? giveUpAfter(r, attempt) : 0;
         actions.add(new Send(r.id, server.id, r.route == null ? timeout : r.route.timeout(timeout, r.deadline - now)));
         if (repeatable && copies) {
             wakeAt(r, now + hedge);
         }
     }
 
+    /**
+     * After which time an attempt is given up for a further one, where the two can't be out at once; 0 for never. Only
+     * one whose successor is paid for is: to give up what may still be answered for nothing would lose the request.
+     */
+    private long giveUpAfter(Request r, Attempt attempt) {
+        long after = r.use.timeout(r.cost);
+        if (now + after >= r.deadline) {
+            return 0;
+        }
+        if (r.route == null || !r.route.hasBudget()) {
+            if (state.retriesSaved < 1) {
+                return 0;
+            }
+            state.retriesSaved--;
+            attempt.successorPaid = true;
+        }
+        return after;
+    }
+
     /** Whether only servers of the zone, or cell, where it may have run discard its repeats. */
     private static boolean boundToZone(Request r) {
         return r.anchor != null && r.use.about.effect() == Effect.KEYED && r.use.about.group() != KeyGroup.ALL;
@@ -310,6 +330,10 @@
         }
         attempt.server.ended(attempt);
         r.ended(attempt, ended.outcome().neverRan);
+        if (attempt.successorPaid) {
+            attempt.successorPaid = false;
+            state.retriesSaved = Math.min(BalancerState.MOST_RETRIES_SAVED, state.retriesSaved + 1);
+        }
         observe(r, attempt, ended);
         if (ended.finished() || r.done) {
             close(r);
--- a/decision/src/main/java/weldhitch/decision/Snapshot.java
+++ b/decision/src/main/java/weldhitch/decision/Snapshot.java
@@ -32,7 +32,7 @@
         List<OfTimer> timers, long armedFor, long numbers, OfAdmission admission, List<OfQuota> quotas, double usualRank,
         double retriesSaved, boolean started, boolean asked, boolean subscribed, int refusedAsks) {
     /** The form that this build writes and reads. */
-    public static final int VERSION = 3;
+    public static final int VERSION = 4;
 
     public Snapshot {
         check(version == VERSION, "version", version, "one of " + VERSION);
@@ -180,7 +180,7 @@
 
     /** {@code server}: its place in {@code servers}. */
     public record OfAttempt(int server, long sentAt, boolean ended, boolean neverRan, boolean overstayed,
-            boolean streaming) {
+            boolean streaming, boolean successorPaid) {
     }
 
     /** {@code request}: its place in {@code requests}, -1 for the list's subscription; {@code spent}: waits no longer. */
--- a/decision/src/main/java/weldhitch/decision/Snapshots.java
+++ b/decision/src/main/java/weldhitch/decision/Snapshots.java
@@ -114,7 +114,8 @@
     private static OfRequest request(Request r, SnapshotInParts servers, Places<RouteUse> uses, ClassUse unknown) {
         List<OfAttempt> attempts = new ArrayList<>(r.attempts.size());
         for (Attempt a : r.attempts) {
-            attempts.add(new OfAttempt(servers.placeOf(a.server), a.sentAt, a.ended, a.neverRan, a.overstayed, a.streaming));
+            attempts.add(new OfAttempt(servers.placeOf(a.server), a.sentAt, a.ended, a.neverRan, a.overstayed, a.streaming,
+                a.successorPaid));
         }
         return new OfRequest(r.id, r.use == unknown ? null : r.use.about.name(), uses.of(r.route), r.worth, r.rank, r.number,
             r.arrivedAt, r.deadline, r.shortened, r.cost, attempts, r.anchor == null ? -1 : r.anchor.number,
@@ -285,6 +286,7 @@
             attempt.neverRan = each.neverRan();
             attempt.overstayed = each.overstayed();
             attempt.streaming = each.streaming();
+            attempt.successorPaid = each.successorPaid();
             r.attempts.add(attempt);
             r.out += each.ended() ? 0 : 1;
         }
--- a/decision/src/test/java/weldhitch/decision/FurtherAttemptsTest.java
+++ b/decision/src/test/java/weldhitch/decision/FurtherAttemptsTest.java
@@ -46,6 +46,57 @@
         assertTrue(only(actions, Refuse.class).isPresent());
     }
 
+    /** Where two attempts can't be out at once, and so the one is given up for the other. */
+    private static Node withoutCopies() {
+        return new Node(Node.settings(new Limits(4, false, false, false, true, Node.SECOND, 100 * MS),
+            Node.requestClass("read", Effect.SAFE, KeyGroup.ALL)), 7).list("a1", "a2", "b1", "b2");
+    }
+
+    private static long timeout(List<Action> actions) {
+        return only(actions, Send.class).orElseThrow().timeout();
+    }
+
+    /** Answers that took over the first guess, a quarter of the aim, were given up one and all, and so never learned. */
+    @Test
+    void attemptsOfAClassThatNobodyHasAnsweredYetHaveItsAim() {
+        Node node = withoutCopies();
+        for (int i = 0; i < 100; i++) {
+            List<Action> actions = node.arrive("r" + i, "read");
+            assertTrue(timeout(actions) == 0 || timeout(actions) > 150 * MS, "r" + i + " has " + timeout(actions));
+            node.now += 150 * MS;
+            node.end("r" + i, 0, sent(actions), Outcome.OK, 150 * MS);
+        }
+    }
+
+    /** Given up with no further one to follow, it is lost, though its answer may be on its way. */
+    @Test
+    void attemptsAreGivenUpOnlyForAFurtherOneThatIsPaidFor() {
+        Node node = withoutCopies();
+        for (int i = 0; i < 5; i++) {
+            assertTrue(timeout(node.arrive("r" + i, "read")) > 0, "r" + i);
+        }
+        List<Action> unpaid = node.arrive("r5", "read");
+        assertEquals(0, timeout(unpaid));
+        node.now += 400 * MS;
+        for (int i = 0; i < 5; i++) {
+            assertNotNull(sent(node.end("r" + i, 0, "a1", Outcome.TIMED_OUT, 400 * MS)), "r" + i);
+        }
+    }
+
+    @Test
+    void whatASuccessorWouldHaveCostIsThereAgainOnceThereIsAnAnswer() {
+        Node node = withoutCopies();
+        for (int i = 0; i < 100; i++) {
+            String server = sent(node.arrive("r" + i, "read"));
+            node.now += 50 * MS;
+            node.end("r" + i, 0, server, Outcome.OK, 50 * MS);
+        }
+        // Ten is the most that is ever saved.
+        for (int i = 0; i < 10; i++) {
+            assertTrue(timeout(node.arrive("s" + i, "read")) > 0, "s" + i);
+        }
+    }
+
     @Test
     void keyedRequestIsRepeatedInItsCellOnly() {
         String first = sent(node.arrive("r", "put"));
