Hear a shared list service's changes within the term after anything but a refusal

Cause: found by reading, then by the model. A node that holds a list of a service that all nodes ask waited up to 5 s (16 s where it took silence for overload) after a failed call, on top of a watch of up to 10 s and a patience of up to 5 s past it. By the users' terms what a silent watch misses counts as told 2 s after its wait, and a change 6 s after the service had it and could be reached. The model's worst of the former pacing: "SILENT after 10000 ms: heard at 19783, counts as told at 12000". Change: for a node that holds a list, patience past a watch is 1.5 s and the next call comes within 250 ms and asks for no wait (watches began at different moments, so no crowd does); a call without a wait has 3.5 s, then 2 s at most; after a break or nonsense 4 s at most; turns of stewards don't put a call off for longer.

--- a/decision/src/main/java/weldhitch/decision/ListCalls.java
+++ b/decision/src/main/java/weldhitch/decision/ListCalls.java
@@ -58,7 +58,18 @@
     /** With a dial it stays under the 10 s in which all nodes hold a list once the service is back. */
     private static final long LONGEST_SPREAD = 5000 * MILLI;
     private static final long LONGEST_OVERLOAD_SPREAD = 16_000 * MILLI;
-    private static final long LONGEST_SHARED_PATIENCE = 5000 * MILLI;
+    /**
+     * Of a call that asks for no wait. With the wait behind it a change is heard within the six seconds after which it counts
+     * as told, whatever the call before it ended in.
+     */
+    private static final long SHARED_PATIENCE = 3500 * MILLI;
+    /** Past the wait of a watch: what a silent watch misses counts as told two seconds after that wait. */
+    private static final long WATCH_PATIENCE = 1500 * MILLI;
+    /** The longest wait of a node that holds a list: with a dial that hangs it stays within the six seconds. */
+    private static final long LONGEST_WAIT_HOLDING = 4000 * MILLI;
+    private static final long LONGEST_WAIT_AFTER_SILENCE = 2000 * MILLI;
+    /** Watches began at different moments, so that nodes whose watches fell silent at once ask again at different ones. */
+    private static final long WAIT_AFTER_SILENT_WATCH = 250 * MILLI;
     /**
      * A node that has heard nothing yet loses nothing by waiting, while a call given up is work that the service does in
      * vain and does again: what keeps an overload up once its cause has gone.
@@ -75,10 +86,12 @@
     private final int siblings;
     private final long spread;
     private final long longestSpread;
-    private final long longestPatience;
     private long patience = SHORTEST_PATIENCE;
     private int failures;
     private int bad;
+    /** Whether the last call brought nothing because no answer came. */
+    private boolean silent;
+    private boolean refused;
     /** Signs of a service that has more calls than it bears, less what sound answers took back; doublings of all waits. */
     private int load;
     private int sound;
@@ -110,7 +123,6 @@
         this.siblings = Math.max(1, siblings);
         spread = Math.min(LONGEST_WAIT, this.siblings * SHARE_OF_ONE);
         longestSpread = askEvery > 0 ? Math.max(LONGEST_WAIT, Math.min(LONGEST_SPREAD, askEvery / 2)) : LONGEST_SPREAD;
-        longestPatience = shared ? LONGEST_SHARED_PATIENCE : LONGEST_PATIENCE;
     }
 
     /** How long a watch asks to wait for news: of a shared service 2 to 10 s, 2 s until it has answered once; of an agent 1 to 2 s. */
@@ -121,9 +133,12 @@
         return heard ? Math.max(SHORTEST_WATCH, Math.min(LONGEST_WATCH, siblings * WATCH_OF_ONE << load)) : SHORTEST_WATCH;
     }
 
-    /** How long the next call asks to wait: as a watch does, but not at all of an agent after a failure, so that what was missed comes at once. */
+    /**
+     * How long the next call asks to wait: as a watch does, but not at all of an agent after a failure and of a shared service
+     * after silence, so that what was missed comes at once.
+     */
     public long asks() {
-        return !shared && failures > 0 ? 0 : watch();
+        return failures > 0 && (!shared || silent && heard) ? 0 : watch();
     }
 
     /** How long a dial to discovery may take. */
@@ -142,7 +157,8 @@
             // From the second failure on no wait went before, so that a slow agent gets its time again and is heard in the end.
             return failures == 1 ? Math.min(patience, AGENT_PATIENCE_AFTER_WATCH) : patience;
         }
-        return !heard ? FIRST_SHARED_PATIENCE : patience;
+        // What all nodes ask may be slow for all of them, and a call given up is one more: it gets all that the term leaves.
+        return !heard ? FIRST_SHARED_PATIENCE : asks() > 0 ? WATCH_PATIENCE : SHARED_PATIENCE;
     }
 
     /** Whether only a whole list mends what is held. */
@@ -160,7 +176,7 @@
         return load > 0;
     }
 
-    /** A call brought nothing. Returns how long to wait before the next: drawn by chance, 0 to a second for an agent, to 16 s else. */
+    /** A call brought nothing. Returns how long to wait before the next: drawn by chance, 0 to a second for an agent; else to 4 s, to 16 s with no list or refused. */
     public long failed(Failure why) {
         return failed(why, 0);
     }
@@ -172,14 +188,17 @@
      * @return how long to wait before the next call
      */
     public long failed(Failure why, long askedToWait) {
+        boolean watched = asks() > 0;
         failures++;
+        silent = why == Failure.SILENT;
+        refused = why == Failure.REFUSED;
         sound = 0;
         if (why == Failure.UNREADABLE || why == Failure.NOT_HELD) {
             bad++;
         }
         if (why == Failure.SILENT) {
             // Time was lost already; and it may be slow rather than silent, so the next call gets longer.
-            patience = Math.min(longestPatience, 2 * patience);
+            patience = Math.min(LONGEST_PATIENCE, 2 * patience);
         }
         if (why == Failure.SILENT || why == Failure.REFUSED) {
             load = Math.min(OVERLOAD_TURNS, load + 1);
@@ -196,9 +215,18 @@
         }
         // An agent of one node has no crowd to keep away, and drains may be told meanwhile.
         long away = shared ? Math.min(LONGEST_OVERLOAD_SPREAD, Math.max(0, askedToWait)) : 0;
+        if (shared && heard && why != Failure.REFUSED) {
+            // A node that holds a list keeps its servers' drains by it; one that is refused for want of room makes room.
+            range = Math.min(range, watched && silent ? WAIT_AFTER_SILENT_WATCH : longestWait());
+        }
         return away + (long) (random.nextDouble() * range);
     }
 
+    /** The longest that the next call may be put off, by whomever, once one has failed. */
+    public long longestWait() {
+        return !shared || !heard || refused ? LONGEST_OVERLOAD_SPREAD : silent ? LONGEST_WAIT_AFTER_SILENCE : LONGEST_WAIT_HOLDING;
+    }
+
     /** The time in which each node has had a turn. */
     private long turns(int doublings) {
         return Math.min(doublings > AWAY_TURNS ? LONGEST_OVERLOAD_SPREAD : longestSpread, siblings * TURN << doublings);
@@ -208,8 +236,9 @@
     public void answered(long late) {
         failures = 0;
         bad = 0;
+        silent = false;
         heard = true;
-        patience = Math.min(longestPatience, Math.max(SHORTEST_PATIENCE, Math.max(2 * late, patience * 3 / 4)));
+        patience = Math.min(LONGEST_PATIENCE, Math.max(SHORTEST_PATIENCE, Math.max(2 * late, patience * 3 / 4)));
         if (++sound >= SOUND_FOR_MORE) {
             sound = 0;
             load = Math.max(0, load - 1);
@@ -224,6 +253,7 @@
     public long moved() {
         failures = 0;
         bad = BAD_FOR_WHOLE;
+        silent = false;
         patience = SHORTEST_PATIENCE;
         load = 0;
         sound = 0;
--- a/lab/src/main/java/weldhitch/lab/start/ColdStart.java
+++ b/lab/src/main/java/weldhitch/lab/start/ColdStart.java
@@ -148,7 +148,7 @@
             if (!holds) {
                 lists.add(clock.now(), 1);
             }
-            long watch = !holds ? 0 : pace != Pace.AGENT ? calls.watch() : SHORTEST_WATCH;
+            long watch = !holds ? 0 : pace != Pace.AGENT ? calls.asks() : SHORTEST_WATCH;
             long due = clock.now() + watch;
             clock.after(watch + calls.patience(), () -> {
                 if (!dead && number == call) {
--- a/node/src/main/java/weldhitch/node/Discovery.java
+++ b/node/src/main/java/weldhitch/node/Discovery.java
@@ -58,6 +58,8 @@
     private boolean awaits;
     private volatile boolean wantsTurn;
     private volatile long turnFrom;
+    /** When the next call goes out at the latest, turn or no turn, once a list is held. */
+    private long askBy;
 
     Discovery(EventLoop loop, ByteBufAllocator allocator, InetSocketAddress address, boolean asked, long seq,
             ListCalls calls, Consumer<Roster> onList) {
@@ -129,7 +131,7 @@
                 if (planned != null) {
                     planned.cancel(false);
                 }
-                later(Math.max(0, at - System.nanoTime()));
+                later(Math.max(0, (heard ? Math.min(at, askBy) : at) - System.nanoTime()));
             }
         });
     }
@@ -219,6 +221,7 @@
             Log.line(word);
         }
         later(wait);
+        askBy = System.nanoTime() + calls.longestWait();
         turnFrom = System.nanoTime() + wait;
         wantsTurn = awaits;
     }
--- a/node/src/test/java/weldhitch/node/DiscoveryTest.java
+++ b/node/src/test/java/weldhitch/node/DiscoveryTest.java
@@ -156,6 +156,24 @@
         }
     }
 
+    /** What it misses counts as told two seconds after the wait that it asked for; a further wait would come to as much again. */
+    @Test
+    void aSilentWatchOfASharedServiceIsMadeUpForAtOnce() throws Exception {
+        try (DiscoveryCalls calls = new DiscoveryCalls(); Peer a = Peer.answering(m -> ok("a"));
+                Harness h = Harness.start(Harness.config(calls.peer.address(), host("a", a.address()), 1024,
+                    ",\"membershipMode\":\"ask\""))) {
+            servedBy(h, "1", "a");
+            calls.next();
+            calls.list(4, true, host("a", a.address()));
+            assertTrue(calls.next().contains("after=4&wait_ms=2000"));
+            long begun = System.nanoTime();
+            assertTrue(calls.next().contains("after=4&wait_ms=0"));
+            long after = (System.nanoTime() - begun) / 1_000_000;
+            // Half a second for a noisy machine.
+            assertTrue(after >= 2000 && after < 4500, "asked again after " + after + " ms");
+        }
+    }
+
     /** A watch falls silent, the call behind it too, the next is refused: each is legal alone, and the sum is what counts. */
     @Test
     void failuresInARowDoNotAddUpToMoreThanAChangeMayTake() throws Exception {
