Keep why the last list call failed as one field instead of two flags

Need: on reading the change again, silent and refused were two flags for one thing, one of them never reset. Change: the last failure is one field, null after a list; the time-out's formula works out the usual trip once.

--- a/decision/src/main/java/weldhitch/decision/ClassUse.java
+++ b/decision/src/main/java/weldhitch/decision/ClassUse.java
@@ -46,7 +46,8 @@
      * retransmission, where a single measurement counts for a deviation of half of it and none for nothing.
      */
     long timeout(double hint) {
-        return seen == 0 ? Math.max(about.aim(), (long) usual(hint)) : (long) (usual(hint) + 4 * Math.max(deviation, usual(hint) / (1 + seen)));
+        double usual = usual(hint);
+        return seen == 0 ? Math.max(about.aim(), (long) usual) : (long) (usual + 4 * Math.max(deviation, usual / (1 + seen)));
     }
 
     /** How long an attempt may take before a further one is worth its work. */
--- a/decision/src/main/java/weldhitch/decision/ListCalls.java
+++ b/decision/src/main/java/weldhitch/decision/ListCalls.java
@@ -89,9 +89,8 @@
     private long patience = SHORTEST_PATIENCE;
     private int failures;
     private int bad;
-    /** Whether the last call brought nothing because no answer came. */
-    private boolean silent;
-    private boolean refused;
+    /** Why the last call brought nothing; null where it brought a list. */
+    private Failure last;
     /** Signs of a service that has more calls than it bears, less what sound answers took back; doublings of all waits. */
     private int load;
     private int sound;
@@ -138,7 +137,7 @@
      * after silence, so that what was missed comes at once.
      */
     public long asks() {
-        return failures > 0 && (!shared || silent && heard) ? 0 : watch();
+        return failures > 0 && (!shared || last == Failure.SILENT && heard) ? 0 : watch();
     }
 
     /** How long a dial to discovery may take. */
@@ -176,7 +175,10 @@
         return load > 0;
     }
 
-    /** A call brought nothing. Returns how long to wait before the next: drawn by chance, 0 to a second for an agent; else to 4 s, to 16 s with no list or refused. */
+    /**
+     * A call brought nothing. Returns how long to wait before the next, drawn by chance: 0 to a second for an agent; else to 4 s,
+     * or to 16 s where no list is held or the call was refused.
+     */
     public long failed(Failure why) {
         return failed(why, 0);
     }
@@ -190,8 +192,7 @@
     public long failed(Failure why, long askedToWait) {
         boolean watched = asks() > 0;
         failures++;
-        silent = why == Failure.SILENT;
-        refused = why == Failure.REFUSED;
+        last = why;
         sound = 0;
         if (why == Failure.UNREADABLE || why == Failure.NOT_HELD) {
             bad++;
@@ -217,14 +218,17 @@
         long away = shared ? Math.min(LONGEST_OVERLOAD_SPREAD, Math.max(0, askedToWait)) : 0;
         if (shared && heard && why != Failure.REFUSED) {
             // A node that holds a list keeps its servers' drains by it; one that is refused for want of room makes room.
-            range = Math.min(range, watched && silent ? WAIT_AFTER_SILENT_WATCH : longestWait());
+            range = Math.min(range, watched && why == Failure.SILENT ? WAIT_AFTER_SILENT_WATCH : longestWait());
         }
         return away + (long) (random.nextDouble() * range);
     }
 
     /** The longest that the next call may be put off, by whomever, once one has failed. */
     public long longestWait() {
-        return !shared || !heard || refused ? LONGEST_OVERLOAD_SPREAD : silent ? LONGEST_WAIT_AFTER_SILENCE : LONGEST_WAIT_HOLDING;
+        if (!shared || !heard || last == Failure.REFUSED) {
+            return LONGEST_OVERLOAD_SPREAD;
+        }
+        return last == Failure.SILENT ? LONGEST_WAIT_AFTER_SILENCE : LONGEST_WAIT_HOLDING;
     }
 
     /** The time in which each node has had a turn. */
@@ -236,7 +240,7 @@
     public void answered(long late) {
         failures = 0;
         bad = 0;
-        silent = false;
+        last = null;
         heard = true;
         patience = Math.min(LONGEST_PATIENCE, Math.max(SHORTEST_PATIENCE, Math.max(2 * late, patience * 3 / 4)));
         if (++sound >= SOUND_FOR_MORE) {
@@ -253,7 +257,7 @@
     public long moved() {
         failures = 0;
         bad = BAD_FOR_WHOLE;
-        silent = false;
+        last = null;
         patience = SHORTEST_PATIENCE;
         load = 0;
         sound = 0;
