Seeded fleet faults: add clients that give up early, and check what servers got of them

Need: the seeded faults suspended nodes, but no client left meanwhile, and nobody compared the time told to servers with the client's. Change: impatient clients that go on while a node is suspended; two more invariants, each violated on purpose in InvariantCheckerTest.

--- a/node/src/test/java/weldhitch/node/FleetIT.java
+++ b/node/src/test/java/weldhitch/node/FleetIT.java
@@ -97,8 +97,8 @@
     }
 
     /**
-     * Seeded faults on nodes and on every link, with a drain among them; the four invariants hold, and all
-     * nodes recover.
+     * Seeded faults on nodes and on every link, with a drain among them, and clients that give up early; the
+     * invariants hold, and all nodes recover.
      */
     @ParameterizedTest
     @ValueSource(longs = {1, 2})
@@ -113,6 +113,7 @@
         try (NodeFleet fleet = new NodeFleet(5, 4, 10, 0, true, c -> new CapacityLimitedDiscovery(c, 1000, 100, 100))) {
             fleet.start(25);
             fleet.awaitAllReady();
+            fleet.nodes.values().forEach(n -> fleet.loadGenerator.addImpatientClient(n, 20, 150));
             List<Fault> schedule = Fault.randomSchedule(
                     seed, List.copyOf(fleet.nodes.keySet()), List.copyOf(fleet.links.keySet()), 8000, 14);
             String description = "seed " + seed + "\n" + Fault.format(schedule);
--- a/testkit/src/main/java/weldhitch/testkit/ScriptedHttpServer.java
+++ b/testkit/src/main/java/weldhitch/testkit/ScriptedHttpServer.java
@@ -132,8 +132,9 @@
      * @param id its trace id
      * @param receivedAtNanos {@link System#nanoTime} when its last byte had arrived, or its head where it was reset
      *     unread
+     * @param expiresInSeconds how long its sender says that it waits; infinite if it does not say
      */
-    public record ReceivedRequest(String id, long receivedAtNanos, Step step) {}
+    public record ReceivedRequest(String id, long receivedAtNanos, double expiresInSeconds, Step step) {}
 
     private final String name;
     private final ScriptedServer server;
@@ -175,7 +176,7 @@
                 connection.readBytes(length == null ? 0 : Integer.parseInt(length));
             }
             String id = String.valueOf(RawHttpMessage.header(head, "x-trace-id"));
-            receivedRequests.add(new ReceivedRequest(id, System.nanoTime(), step));
+            receivedRequests.add(new ReceivedRequest(id, System.nanoTime(), expiresInSeconds(head), step));
             if (step.executesRequest()) {
                 executionsById.merge(id, 1, Integer::sum);
             }
@@ -187,6 +188,11 @@
         connection.close();
     }
 
+    private static double expiresInSeconds(String head) {
+        String value = RawHttpMessage.header(head, "x-expires-in");
+        return value == null ? Double.POSITIVE_INFINITY : Double.parseDouble(value);
+    }
+
     /** Performs a step; false where nothing more is read on the connection. */
     private boolean perform(TestConnection connection, Step step) throws Exception {
         if (step instanceof DelayedStep delayed) {
--- a/testkit/src/main/java/weldhitch/testkit/fleet/InvariantChecker.java
+++ b/testkit/src/main/java/weldhitch/testkit/fleet/InvariantChecker.java
@@ -1,7 +1,9 @@
 package weldhitch.testkit.fleet;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import weldhitch.testkit.ScriptedHttpServer;
 import weldhitch.testkit.fleet.LoadGenerator.Completion;
 import weldhitch.testkit.fleet.LoadGenerator.RequestRecord;
@@ -71,6 +73,65 @@
         return violations;
     }
 
+    /**
+     * Requests that a server received later than a tolerance after their client had disconnected, one line each. A
+     * node that was suspended meanwhile is not excused; a link that delays what the node has sent is.
+     */
+    public List<String> requestsAfterDisconnect(List<RequestRecord> requests, long toleranceMillis) {
+        List<String> violations = new ArrayList<>();
+        forEachReceived(requests, (server, received, request) -> {
+            long receivedAt = received.receivedAtNanos() - eventLogStart;
+            if (request.completion() == Completion.DISCONNECTED
+                    && receivedAt - request.endedAt() > toleranceMillis * NANOS_PER_MILLI
+                    && !linkWasAffected(request, server, receivedAt)) {
+                violations.add(request.id() + ": sent to " + server.name() + " "
+                        + (receivedAt - request.endedAt()) / NANOS_PER_MILLI + " ms after its client disconnected");
+            }
+        });
+        return violations;
+    }
+
+    /**
+     * Requests of which a server was told that they have more time left than their client waits, by more than a
+     * tolerance, one line each; a link that delays them is excused, a node that was suspended is not.
+     */
+    public List<String> overstatedTimeouts(List<RequestRecord> requests, long toleranceMillis) {
+        List<String> violations = new ArrayList<>();
+        forEachReceived(requests, (server, received, request) -> {
+            long receivedAt = received.receivedAtNanos() - eventLogStart;
+            double excessMillis = received.expiresInSeconds() * 1000
+                    + (receivedAt - request.sentAt()) / (double) NANOS_PER_MILLI
+                    - request.timeoutMillis();
+            if (excessMillis > toleranceMillis && !linkWasAffected(request, server, receivedAt)) {
+                violations.add(request.id() + ": " + server.name() + " was told " + Math.round(excessMillis)
+                        + " ms more than its client waits");
+            }
+        });
+        return violations;
+    }
+
+    private boolean linkWasAffected(RequestRecord request, ScriptedHttpServer server, long receivedAt) {
+        return faultInjector.wasAffected(request.node() + ">" + server.name(), request.sentAt(), receivedAt);
+    }
+
+    /** Consumes what a server received of a recorded request. */
+    private interface ReceivedRequestConsumer {
+        void accept(ScriptedHttpServer server, ScriptedHttpServer.ReceivedRequest received, RequestRecord request);
+    }
+
+    private void forEachReceived(List<RequestRecord> requests, ReceivedRequestConsumer consumer) {
+        Map<String, RequestRecord> requestsById = new HashMap<>();
+        requests.forEach(request -> requestsById.put(request.id(), request));
+        for (ScriptedHttpServer server : servers) {
+            for (ScriptedHttpServer.ReceivedRequest received : server.receivedRequests()) {
+                RequestRecord request = requestsById.get(received.id());
+                if (request != null) {
+                    consumer.accept(server, received, request);
+                }
+            }
+        }
+    }
+
     /**
      * Requests that a server received from a node later than a grace period after the node was notified
      * that the endpoint drains, one line each. A node that was suspended at that time counts as notified
--- a/testkit/src/main/java/weldhitch/testkit/fleet/LoadGenerator.java
+++ b/testkit/src/main/java/weldhitch/testkit/fleet/LoadGenerator.java
@@ -22,14 +22,16 @@
 public final class LoadGenerator implements Closeable {
     /**
      * How a request completed: answered; its reused connection was closed just as it was written; the
-     * connection broke; no response in time; more bytes after the final response.
+     * connection broke; no response in time; more bytes after the final response; its client gave up and closed
+     * the connection.
      */
     public enum Completion {
         RESPONDED,
         STALE_CONNECTION,
         CONNECTION_BROKEN,
         TIMED_OUT,
-        EXTRA_RESPONSE
+        EXTRA_RESPONSE,
+        DISCONNECTED
     }
 
     /**
@@ -37,6 +39,7 @@
      *
      * @param unsafe whether it is non-idempotent
      * @param sentAt when its last byte was written
+     * @param timeoutMillis how long its client waits for the response, in milliseconds
      * @param status 0 without a response
      * @param routeVersion the route version that the response names, or null
      */
@@ -45,6 +48,7 @@
             String node,
             boolean unsafe,
             long sentAt,
+            long timeoutMillis,
             long endedAt,
             Completion completion,
             int status,
@@ -58,25 +62,53 @@
     /** Builds the text of a request from its id and whether it is non-idempotent, which odd numbers are. */
     public interface RequestFactory extends BiFunction<String, Boolean, String> {}
 
+    /**
+     * How a client waits for its responses.
+     *
+     * @param requestTimeoutMillis the time that its requests state, in milliseconds
+     * @param readTimeoutMillis how long it waits in fact, in milliseconds
+     * @param impatient whether it then disconnects, as it has stated; otherwise the request counts as lost. An
+     *     impatient client goes on while its node is suspended.
+     */
+    private record Behaviour(long requestTimeoutMillis, long readTimeoutMillis, boolean impatient) {}
+
     /** Size of each client's own range of request numbers: even, because odd numbers are non-idempotent. */
     private static final int MAX_IDS_PER_CLIENT = 1_000_000;
 
     private final EventLog eventLog;
     private final RequestFactory requestFactory;
-    private final long timeoutMillis;
+    private final Behaviour patient;
     private final ConcurrentLinkedQueue<RequestRecord> requests = new ConcurrentLinkedQueue<>();
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final List<Thread> threads = new ArrayList<>();
 
-    /** @param timeoutMillis how long a client waits for a response before it counts as lost, in milliseconds */
-    public LoadGenerator(EventLog eventLog, RequestFactory requestFactory, long timeoutMillis) {
+    /**
+     * Adds no client yet.
+     *
+     * @param requestTimeoutMillis the time that the requests state, in milliseconds
+     * @param timeoutMillis how long a client waits for a response before it counts as lost, in milliseconds
+     */
+    public LoadGenerator(
+            EventLog eventLog, RequestFactory requestFactory, long requestTimeoutMillis, long timeoutMillis) {
         this.eventLog = eventLog;
         this.requestFactory = requestFactory;
-        this.timeoutMillis = timeoutMillis;
+        patient = new Behaviour(requestTimeoutMillis, timeoutMillis, false);
     }
 
     /** Adds a client that sends a request to the node about every {@code everyMs}, while the node listens. */
     public LoadGenerator addClient(ManagedProcess node, long intervalMillis) {
+        return addClient(node, intervalMillis, patient);
+    }
+
+    /**
+     * Adds a client that waits only {@code patienceMillis} for each response, states so, and then disconnects. It
+     * goes on while the node is suspended.
+     */
+    public LoadGenerator addImpatientClient(ManagedProcess node, long intervalMillis, long patienceMillis) {
+        return addClient(node, intervalMillis, new Behaviour(patienceMillis, patienceMillis, true));
+    }
+
+    private synchronized LoadGenerator addClient(ManagedProcess node, long intervalMillis, Behaviour behaviour) {
         int firstNumber = MAX_IDS_PER_CLIENT * threads.size();
         threads.add(TestSupport.startDaemon(() -> {
             TestConnection connection = null;
@@ -84,7 +116,7 @@
             int number = firstNumber;
             boolean reused = false;
             while (!stopped.await(intervalMillis, TimeUnit.MILLISECONDS)) {
-                int listenPort = node.currentPort();
+                int listenPort = behaviour.impatient ? node.listenPort() : node.currentPort();
                 if (listenPort == 0) {
                     continue;
                 }
@@ -92,7 +124,7 @@
                 boolean unsafe = number++ % 2 == 1;
                 try {
                     if (connection == null || connectedPort != listenPort) {
-                        connection = connect(listenPort);
+                        connection = connect(listenPort, behaviour);
                         connectedPort = listenPort;
                         reused = false;
                     }
@@ -100,27 +132,30 @@
                     connection = null;
                     continue;
                 }
-                connection = sendOnce(connection, node.name(), id, unsafe, reused);
+                connection = sendOnce(connection, node.name(), id, unsafe, reused, behaviour);
                 reused = true;
             }
         }));
         return this;
     }
 
-    private TestConnection connect(int port) throws IOException {
+    private TestConnection connect(int port, Behaviour behaviour) throws IOException {
         Socket socket = new Socket();
         socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 1000);
         socket.setTcpNoDelay(true);
         TestConnection connection = new TestConnection(socket);
-        socket.setSoTimeout((int) timeoutMillis);
+        socket.setSoTimeout((int) behaviour.readTimeoutMillis);
         return connection;
     }
 
     /** Sends one request; returns the connection where it may carry another, else null. */
-    private TestConnection sendOnce(TestConnection connection, String node, String id, boolean unsafe, boolean reused) {
+    private TestConnection sendOnce(
+            TestConnection connection, String node, String id, boolean unsafe, boolean reused, Behaviour behaviour) {
         long sentAt = 0;
         try {
-            connection.write(requestFactory.apply(id, unsafe));
+            connection.write(requestFactory
+                    .apply(id, unsafe)
+                    .replaceFirst("X-Expires-In: [0-9.]+", "X-Expires-In: " + behaviour.requestTimeoutMillis / 1000.0));
             sentAt = eventLog.elapsedNanos();
             RawHttpMessage response = connection.readMessage();
             if (response == null) {
@@ -130,46 +165,68 @@
                         node,
                         unsafe,
                         sentAt,
+                        behaviour,
                         reused ? Completion.STALE_CONNECTION : Completion.CONNECTION_BROKEN,
                         null);
                 return null;
             }
-            addRecord(id, node, unsafe, sentAt, Completion.RESPONDED, response);
+            addRecord(id, node, unsafe, sentAt, behaviour, Completion.RESPONDED, response);
             boolean closesConnection = "close".equalsIgnoreCase(RawHttpMessage.header(response.head(), "connection"));
             if (closesConnection) {
                 if (connection.readToEnd().length > 0) {
-                    addRecord(id, node, unsafe, sentAt, Completion.EXTRA_RESPONSE, null);
+                    addRecord(id, node, unsafe, sentAt, behaviour, Completion.EXTRA_RESPONSE, null);
                 }
                 connection.close();
                 return null;
             }
             return connection;
         } catch (java.net.SocketTimeoutException e) {
-            addRecord(id, node, unsafe, sentAt, Completion.TIMED_OUT, null);
+            closeQuietly(connection);
+            addRecord(
+                    id,
+                    node,
+                    unsafe,
+                    sentAt,
+                    behaviour,
+                    behaviour.impatient ? Completion.DISCONNECTED : Completion.TIMED_OUT,
+                    null);
+            return null;
         } catch (IOException e) {
             addRecord(
                     id,
                     node,
                     unsafe,
                     sentAt == 0 ? eventLog.elapsedNanos() : sentAt,
+                    behaviour,
                     sentAt == 0 || reused ? Completion.STALE_CONNECTION : Completion.CONNECTION_BROKEN,
                     null);
         }
+        closeQuietly(connection);
+        return null;
+    }
+
+    private static void closeQuietly(TestConnection connection) {
         try {
             connection.close();
         } catch (IOException e) {
             // already closed
         }
-        return null;
     }
 
     private void addRecord(
-            String id, String node, boolean unsafe, long sentAt, Completion completion, RawHttpMessage response) {
+            String id,
+            String node,
+            boolean unsafe,
+            long sentAt,
+            Behaviour behaviour,
+            Completion completion,
+            RawHttpMessage response) {
         requests.add(new RequestRecord(
                 id,
                 node,
                 unsafe,
                 sentAt,
+                behaviour.requestTimeoutMillis,
                 eventLog.elapsedNanos(),
                 completion,
                 response == null ? 0 : response.status(),
@@ -187,7 +244,7 @@
         stopped.countDown();
         for (Thread thread : threads) {
             try {
-                thread.join(timeoutMillis + 1000L * TestSupport.TIMEOUT_SECONDS);
+                thread.join(patient.readTimeoutMillis + 1000L * TestSupport.TIMEOUT_SECONDS);
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
--- a/testkit/src/main/java/weldhitch/testkit/fleet/ManagedProcess.java
+++ b/testkit/src/main/java/weldhitch/testkit/fleet/ManagedProcess.java
@@ -91,6 +91,11 @@
         return isRunning() ? port : 0;
     }
 
+    /** The port of a process that exists, suspended or not; 0 until it listens. */
+    public int listenPort() {
+        return isAlive() ? port : 0;
+    }
+
     /** Whether it has been started and has neither ended nor been suspended. */
     public synchronized boolean isRunning() {
         return process != null && process.isAlive() && !suspended;
--- a/testkit/src/main/java/weldhitch/testkit/fleet/NodeFleet.java
+++ b/testkit/src/main/java/weldhitch/testkit/fleet/NodeFleet.java
@@ -40,7 +40,7 @@
     public final Map<String, FaultInjectingProxy> links = new LinkedHashMap<>();
 
     public final LoadGenerator loadGenerator =
-            new LoadGenerator(eventLog, NodeFleet::request, REQUEST_TIMEOUT_MILLIS + 3000);
+            new LoadGenerator(eventLog, NodeFleet::request, REQUEST_TIMEOUT_MILLIS, REQUEST_TIMEOUT_MILLIS + 3000);
     public final FaultInjector faultInjector;
     private final Map<String, String> serverAddresses = new LinkedHashMap<>();
     private final List<Path> temporaryFiles = new ArrayList<>();
@@ -290,6 +290,9 @@
         // One second of tolerance for a noisy machine; the node's own limit is 50 ms.
         List<String> violations =
                 new ArrayList<>(checker.violations(loadGenerator.requests(), REQUEST_TIMEOUT_MILLIS, 1000));
+        // Half a second of tolerance for the server's thread; the node's own limit is 100 ms.
+        violations.addAll(checker.requestsAfterDisconnect(loadGenerator.requests(), 500));
+        violations.addAll(checker.overstatedTimeouts(loadGenerator.requests(), 500));
         if (checkDrains) {
             violations.addAll(checker.requestsAfterDrain(discovery, List.copyOf(nodes.keySet()), 2050));
         }
--- a/testkit/src/test/java/weldhitch/testkit/fleet/InvariantCheckerTest.java
+++ b/testkit/src/test/java/weldhitch/testkit/fleet/InvariantCheckerTest.java
@@ -21,14 +21,14 @@
 
     private static RequestRecord request(
             String id, boolean unsafe, Completion completion, int status, long durationNanos) {
-        return new RequestRecord(id, "n0", unsafe, SECOND, SECOND + durationNanos, completion, status, null);
+        return new RequestRecord(id, "n0", unsafe, SECOND, 3000, SECOND + durationNanos, completion, status, null);
     }
 
     private static void execute(ScriptedHttpServer server, String id) throws Exception {
         String[] address = server.address().split(":");
         try (TestConnection connection =
                 new TestConnection(new Socket(InetAddress.getLoopbackAddress(), Integer.parseInt(address[1])))) {
-            connection.write("GET /x HTTP/1.1\r\nX-Trace-Id: " + id + "\r\n\r\n");
+            connection.write("GET /x HTTP/1.1\r\nX-Trace-Id: " + id + "\r\nX-Expires-In: 2.000\r\n\r\n");
             connection.readMessage();
         }
     }
@@ -70,7 +70,7 @@
                     List.of(),
                     checker.violations(
                             List.of(new RequestRecord(
-                                    "n0-5", "n0", true, pausedAt, pausedAt + 5, Completion.TIMED_OUT, 0, null)),
+                                    "n0-5", "n0", true, pausedAt, 3000, pausedAt + 5, Completion.TIMED_OUT, 0, null)),
                             1000,
                             50));
             execute(server, "n0-5");
@@ -79,13 +79,39 @@
                     1,
                     checker.violations(
                                     List.of(new RequestRecord(
-                                            "n0-5", "n0", true, pausedAt, pausedAt + 5, Completion.TIMED_OUT, 0, null)),
+                                            "n0-5",
+                                            "n0",
+                                            true,
+                                            pausedAt,
+                                            3000,
+                                            pausedAt + 5,
+                                            Completion.TIMED_OUT,
+                                            0,
+                                            null)),
                                     1000,
                                     50)
                             .size());
         }
     }
 
+    @Test
+    void requestsOfDisconnectedClientsAndOverstatedTimeoutsAreReported() throws Exception {
+        try (ScriptedHttpServer server = new ScriptedHttpServer("s")) {
+            long sentAt = eventLog.elapsedNanos();
+            execute(server, "n0-1");
+            InvariantChecker checker = new InvariantChecker(eventLog, noFaults, List.of(server));
+            long longBefore = sentAt - SECOND;
+            RequestRecord inTime =
+                    new RequestRecord("n0-1", "n0", false, sentAt, 2000, sentAt, Completion.DISCONNECTED, 0, null);
+            RequestRecord early = new RequestRecord(
+                    "n0-1", "n0", false, longBefore, 2000, longBefore, Completion.DISCONNECTED, 0, null);
+            assertEquals(List.of(), checker.requestsAfterDisconnect(List.of(inTime), 900));
+            assertEquals(1, checker.requestsAfterDisconnect(List.of(early), 900).size());
+            assertEquals(List.of(), checker.overstatedTimeouts(List.of(inTime), 900));
+            assertEquals(1, checker.overstatedTimeouts(List.of(early), 900).size());
+        }
+    }
+
     @Test
     void overloadOfAServerInSlowStartIsReported() throws Exception {
         try (ScriptedHttpServer server = new ScriptedHttpServer("s")) {
