--- a/client/src/test/java/weldhitch/client/WeldhitchClientTest.java
+++ b/client/src/test/java/weldhitch/client/WeldhitchClientTest.java
@@ -120,9 +120,10 @@
             TestConnection node = stalled.release();
             RawHttpMessage request = node.readMessage();
             double elapsed = System.nanoTime() / 1e9 - sentAt;
-            double told = Double.parseDouble(request.header("x-expires-in"));
+            double statedSeconds = Double.parseDouble(request.header("x-expires-in"));
             assertTrue(
-                    told <= timeoutSeconds - elapsed + 0.15, "told " + told + " s, " + elapsed + " s after the call");
+                    statedSeconds <= timeoutSeconds - elapsed + 0.15,
+                    "told " + statedSeconds + " s, " + elapsed + " s after the call");
             node.write(ok("booked"));
             assertEquals(1, response.join().attempts());
         }
@@ -145,10 +146,10 @@
                         .build()) {
             client.send(Request.idempotent("view-slots"));
             TestConnection idle = node.nextConnection();
-            CountDownLatch heldUp = new CountDownLatch(1);
+            CountDownLatch loopBlocked = new CountDownLatch(1);
             group.next().execute(() -> {
                 try {
-                    heldUp.await();
+                    loopBlocked.await();
                 } catch (InterruptedException e) {
                     Thread.currentThread().interrupt();
                 }
@@ -159,7 +160,7 @@
                 case "reset" -> idle.reset();
                 default -> idle.write(ok("stray"));
             }
-            heldUp.countDown();
+            loopBlocked.countDown();
             assertEquals("POST /book-visit HTTP/1.1", new String(response.join().body(), StandardCharsets.UTF_8));
             assertEquals(1, response.join().attempts());
         } finally {
--- a/node/src/main/java/weldhitch/node/Dispatcher.java
+++ b/node/src/main/java/weldhitch/node/Dispatcher.java
@@ -347,7 +347,7 @@
                 now,
                 attemptDeadline,
                 inFlight.deduplicatedUntil());
-        events.countFurtherAttempt(inFlight);
+        events.countRetryOrHedge(inFlight);
         inFlight.attempts.add(attempt);
         inFlight.attemptsInFlight++;
         if (inFlight.finished || now >= attemptDeadline || attempt.number >= limits.maxAttempts()) {
--- a/node/src/main/java/weldhitch/node/NodeEvent.java
+++ b/node/src/main/java/weldhitch/node/NodeEvent.java
@@ -31,13 +31,13 @@
         UNREAD_RESPONSE
     }
 
-    /** The words that log lines use. */
-    static String words(Enum<?> constant) {
+    /** The name of an event, as log lines write it. */
+    static String toPhrase(Enum<?> constant) {
         return constant.name().toLowerCase(Locale.ROOT).replace('_', ' ');
     }
 
-    /** The one word that log lines use for a value. */
-    static String word(Enum<?> constant) {
+    /** The name of a reason, as log lines write it: one token. */
+    static String toToken(Enum<?> constant) {
         return constant.name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
 }
--- a/node/src/main/java/weldhitch/node/NodeEventLog.java
+++ b/node/src/main/java/weldhitch/node/NodeEventLog.java
@@ -43,7 +43,7 @@
     }
 
     /** Counts an attempt that is about to be added to the request, if it is not the first. */
-    void countFurtherAttempt(InFlightRequest inFlight) {
+    void countRetryOrHedge(InFlightRequest inFlight) {
         if (inFlight.attemptsInFlight > 0) {
             count(NodeEvent.HEDGED_REQUEST_SENT, inFlight.request.id());
         } else if (!inFlight.attempts.isEmpty()) {
@@ -59,8 +59,8 @@
     }
 
     private static String line(Kind kind, Count count) {
-        return NodeEvent.words(kind.event)
-                + (kind.reason == null ? "" : " reason=" + NodeEvent.word(kind.reason))
+        return NodeEvent.toPhrase(kind.event)
+                + (kind.reason == null ? "" : " reason=" + NodeEvent.toToken(kind.reason))
                 + " count=" + count.occurrences
                 + (count.firstRequestId == null ? "" : " first=" + count.firstRequestId);
     }
--- a/node/src/test/java/weldhitch/node/SuspendedNodeIT.java
+++ b/node/src/test/java/weldhitch/node/SuspendedNodeIT.java
@@ -49,7 +49,7 @@
     private static final long SETTLE_MILLIS = 300;
     private static final long NANOS_PER_MILLI = 1_000_000L;
     /** By how much the remaining time that a server is told may exceed what the client has left. */
-    private static final double TOLD_TIME_SLACK_SECONDS = 0.15;
+    private static final double STATED_TIMEOUT_SLACK_SECONDS = 0.15;
 
     /** How a peer ends a connection. */
     enum Ending {
@@ -95,10 +95,10 @@
         return ids;
     }
 
-    /** The incident: on new connections and on kept ones, safe requests and unsafe ones, closes and resets. */
+    /** The incident: on new connections and on reused ones, safe requests and unsafe ones, closes and resets. */
     @ParameterizedTest
     @CsvSource({"false, CLOSE", "false, RESET", "true, CLOSE", "true, RESET"})
-    void requestOfADisconnectedClientIsNotForwarded(boolean keptConnections, Ending ending) throws Exception {
+    void requestOfADisconnectedClientIsNotForwarded(boolean reusedConnections, Ending ending) throws Exception {
         int clients = 20;
         try (ScriptedHttpServer server = new ScriptedHttpServer("s");
                 ScriptedServer discovery = NodeHarness.discovery(host("s", server.address()));
@@ -112,7 +112,7 @@
             }
             node.suspend();
             for (int i = 0; i < clients; i++) {
-                TestConnection connection = keptConnections ? connections.get(i) : node.connect();
+                TestConnection connection = reusedConnections ? connections.get(i) : node.connect();
                 connections.set(i, connection);
                 connection.write(impatient(i % 2 == 0 ? get("left-" + i) : post("left-" + i, "body")));
             }
@@ -192,30 +192,30 @@
      */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
-    void remainingTimeExcludesWhatPassedBeforeTheRequestWasRead(boolean keptConnection) throws Exception {
+    void remainingTimeExcludesTheTimeBeforeTheRequestWasRead(boolean reusedConnection) throws Exception {
         double timeoutSeconds = 2;
-        Map<String, Double> toldUntil = new ConcurrentHashMap<>();
+        Map<String, Double> statedExpiry = new ConcurrentHashMap<>();
         ScriptedServer server = ScriptedServer.respondingWith(m -> {
-            toldUntil.put(
+            statedExpiry.put(
                     m.header("x-trace-id"), System.nanoTime() / 1e9 + Double.parseDouble(m.header("x-expires-in")));
             return ok("x");
         });
         try (server;
                 ScriptedServer discovery = NodeHarness.discovery(host("s", server.address()));
                 NodeProcess node = startNode(discovery, host("s", server.address()));
-                TestConnection kept = node.connect()) {
-            kept.write(get("warm"));
-            assertEquals(200, kept.readMessage().status());
+                TestConnection reused = node.connect()) {
+            reused.write(get("warm"));
+            assertEquals(200, reused.readMessage().status());
             node.suspend();
-            TestConnection client = keptConnection ? kept : node.connect();
+            TestConnection client = reusedConnection ? reused : node.connect();
             client.write(post("patient", "body").replace("8.000", Double.toString(timeoutSeconds)));
             double clientWaitsUntil = System.nanoTime() / 1e9 + timeoutSeconds;
             elapse(500);
             node.resume();
             assertEquals(200, client.readMessage().status());
             assertTrue(
-                    toldUntil.get("patient") <= clientWaitsUntil + TOLD_TIME_SLACK_SECONDS,
-                    "told " + (toldUntil.get("patient") - clientWaitsUntil) + " s more than the client waits");
+                    statedExpiry.get("patient") <= clientWaitsUntil + STATED_TIMEOUT_SLACK_SECONDS,
+                    "told " + (statedExpiry.get("patient") - clientWaitsUntil) + " s more than the client waits");
         }
     }
 
@@ -246,9 +246,9 @@
     /** A pipelined request waits behind the one before it, and its client's time passes meanwhile. */
     @Test
     void remainingTimeOfAPipelinedRequestCountsFromItsArrival() throws Exception {
-        Map<String, Double> toldUntil = new ConcurrentHashMap<>();
+        Map<String, Double> statedExpiry = new ConcurrentHashMap<>();
         ScriptedServer server = ScriptedServer.respondingWith(m -> {
-            toldUntil.put(
+            statedExpiry.put(
                     m.header("x-trace-id"), System.nanoTime() / 1e9 + Double.parseDouble(m.header("x-expires-in")));
             if (m.header("x-trace-id").equals("first")) {
                 elapse(500);
@@ -263,8 +263,8 @@
             assertEquals(200, client.readMessage().status());
             assertEquals(200, client.readMessage().status());
             assertTrue(
-                    toldUntil.get("second") <= clientWaitsUntil + TOLD_TIME_SLACK_SECONDS,
-                    "told " + (toldUntil.get("second") - clientWaitsUntil) + " s more than the client waits");
+                    statedExpiry.get("second") <= clientWaitsUntil + STATED_TIMEOUT_SLACK_SECONDS,
+                    "told " + (statedExpiry.get("second") - clientWaitsUntil) + " s more than the client waits");
         }
     }
 
--- a/testkit/src/main/java/weldhitch/testkit/fleet/LoadGenerator.java
+++ b/testkit/src/main/java/weldhitch/testkit/fleet/LoadGenerator.java
@@ -101,11 +101,11 @@
     }
 
     /**
-     * Adds a client that waits only {@code patienceMillis} for each response, states so, and then disconnects. It
+     * Adds a client that waits only {@code timeoutMillis} for each response, states so, and then disconnects. It
      * goes on while the node is suspended.
      */
-    public LoadGenerator addImpatientClient(ManagedProcess node, long intervalMillis, long patienceMillis) {
-        return addClient(node, intervalMillis, new Behaviour(patienceMillis, patienceMillis, true));
+    public LoadGenerator addImpatientClient(ManagedProcess node, long intervalMillis, long timeoutMillis) {
+        return addClient(node, intervalMillis, new Behaviour(timeoutMillis, timeoutMillis, true));
     }
 
     private synchronized LoadGenerator addClient(ManagedProcess node, long intervalMillis, Behaviour behaviour) {
