--- a/node/src/main/java/weldhitch/node/ClientConnection.java
+++ b/node/src/main/java/weldhitch/node/ClientConnection.java
@@ -21,7 +21,7 @@
  * {@link ClientConnectionManager}; not thread-safe, confined to the event loop.
  */
 final class ClientConnection extends ChannelInboundHandlerAdapter implements ClientCallback {
-    private final ClientConnectionListener owner;
+    private final ClientConnectionListener<ClientConnection> owner;
     private final ClientPolicy policy;
     private final Dispatcher dispatcher;
     private final ConnectionContext context;
@@ -39,7 +39,7 @@
     private StreamSource source;
 
     ClientConnection(
-            ClientConnectionListener owner,
+            ClientConnectionListener<ClientConnection> owner,
             ClientPolicy policy,
             Dispatcher dispatcher,
             ConnectionContext context,
--- a/node/src/main/java/weldhitch/node/ClientConnectionListener.java
+++ b/node/src/main/java/weldhitch/node/ClientConnectionListener.java
@@ -1,13 +1,17 @@
 package weldhitch.node;
 
-/** The listener side that accepted a connection. All of its methods are called on the event loop. */
-interface ClientConnectionListener {
+/**
+ * The listener side that accepted a connection. All of its methods are called on the event loop.
+ *
+ * @param <C> the type of the connection
+ */
+interface ClientConnectionListener<C> {
     /** The connection has been accepted. */
-    void opened(ClientConnection connection);
+    void opened(C connection);
 
     /** The connection has closed. */
-    void closed(ClientConnection connection);
+    void closed(C connection);
 
     /** The connection has become idle, or has stopped being so. */
-    void idleChanged(ClientConnection connection, boolean isIdle);
+    void idleChanged(C connection, boolean isIdle);
 }
--- a/node/src/main/java/weldhitch/node/ClientConnectionManager.java
+++ b/node/src/main/java/weldhitch/node/ClientConnectionManager.java
@@ -35,7 +35,7 @@
  * Accepts and tracks client connections: limits their number by evicting idle ones, sweeps them for timeouts,
  * and runs the graceful shutdown that {@link GracefulShutdown} schedules. Not thread-safe, confined to the event loop.
  */
-final class ClientConnectionManager implements ClientConnectionListener, ClientPolicy {
+final class ClientConnectionManager implements ClientConnectionListener<ClientConnection>, ClientPolicy {
     private static final int BACKLOG = 4096;
     private static final int MAX_REQUEST_LINE_BYTES = 8 * 1024;
     /**
--- a/node/src/main/java/weldhitch/node/ServerConnection.java
+++ b/node/src/main/java/weldhitch/node/ServerConnection.java
@@ -41,7 +41,7 @@
     long idleSince;
     private int requestCount;
     private long requestStartedAt;
-    private final ServerConnectionOwner owner;
+    private final ServerConnectionOwner<ServerConnection> owner;
     private final AttemptListener listener;
     private final Clock clock;
     private final ResourceLimits limits;
@@ -63,7 +63,7 @@
     private long lastProgressAt;
 
     ServerConnection(
-            ServerConnectionOwner owner,
+            ServerConnectionOwner<ServerConnection> owner,
             AttemptListener listener,
             ConnectionContext context,
             String endpointId,
--- a/node/src/main/java/weldhitch/node/ServerConnectionPool.java
+++ b/node/src/main/java/weldhitch/node/ServerConnectionPool.java
@@ -31,7 +31,7 @@
  * idle or new connections, and limits descriptors. Used by {@link Dispatcher} and {@link Node}; not
  * thread-safe, confined to the event loop.
  */
-final class ServerConnectionPool implements ServerConnectionOwner {
+final class ServerConnectionPool implements ServerConnectionOwner<ServerConnection> {
     private static final double IDLE_FRACTION_OF_KEEP_ALIVE = 0.7;
     private static final int MAX_IDLE_PER_SERVER = 16;
     private static final long SWEEP_INTERVAL_MS = 250;
