--- a/review/src/review/BrokenFile.java
+++ b/review/src/review/BrokenFile.java
@@ -130,6 +130,7 @@
     }
 
     private byte[] answer(Server.Received request, boolean draining) throws InterruptedException {
+        lab.record((draining ? "s-2" : "s-1") + " received look-up " + request.id());
         if (draining) {
             synchronized (receivedByDraining) {
                 receivedByDraining.add(System.nanoTime());
@@ -158,6 +159,7 @@
             }
             if (answer.startsWith("HTTP/1.1 200") && answer.endsWith("ran " + id)) {
                 served.incrementAndGet();
+                lab.record("client: look-up " + id + " served");
             } else {
                 unserved.incrementAndGet();
                 lab.note("look-up " + id + ": " + answer.lines().findFirst().orElse("nothing"));
--- a/review/src/review/KeyedBooking.java
+++ b/review/src/review/KeyedBooking.java
@@ -64,15 +64,17 @@
             Files.writeString(operator, OPERATOR);
             lab.startNode("n1", config, operator);
             lab.require("n1 is ready", 30, () -> Lab.isReady(nodePort));
+            Relay relay = new Relay(lab, nodePort, KEY);
             Process app = lab.start(
                     "app",
                     "exec java -cp review/target:client/target/weldhitch-client-0.1.0.jar:cli/target/weldhitch.jar"
-                            + ":bench/target/weldhitch-bench.jar review.BookingApp 127.0.0.1:" + nodePort + " " + KEY
+                            + ":bench/target/weldhitch-bench.jar review.BookingApp 127.0.0.1:" + relay.port() + " " + KEY
                             + " " + WINDOW_MILLIS,
                     Map.of());
             if (!app.waitFor(40, TimeUnit.SECONDS)) {
                 throw new IOException("the app did not end");
             }
+            relay.close();
             Thread.sleep(1000);
             lab.noteLog("app", "");
             lab.noteLog("n1", "");
--- a/review/src/review/Lab.java
+++ b/review/src/review/Lab.java
@@ -38,7 +38,10 @@
             .connectTimeout(Duration.ofSeconds(1))
             .build();
 
-    /** A case; returns one of the exit codes above. */
+    /** Added to the exit code, so that {@code run.sh} can tell a result from a failure of the Java runtime. */
+    private static final int EXIT_BASE = 20;
+
+    /** A case; returns one of the results above. */
     interface Case {
         int run(Lab lab) throws Exception;
     }
@@ -55,7 +58,7 @@
         record = new PrintWriter(Files.newBufferedWriter(caseFolder.resolve("record.txt")), true);
     }
 
-    /** Runs a case and exits with its result. The first argument is the folder of the case. */
+    /** Runs a case and exits with its result plus 20. The first argument is the folder of the case. */
     static void main(String[] arguments, Case review) {
         int result = COULD_NOT_RUN;
         try (Lab lab = new Lab(Path.of(arguments[0]))) {
@@ -72,14 +75,19 @@
         } catch (IOException e) {
             System.err.println("could not run: " + e);
         }
-        Runtime.getRuntime().halt(result);
+        Runtime.getRuntime().halt(EXIT_BASE + result);
+    }
+
+    /** Writes a line to the record and to standard output, with the milliseconds since the start. */
+    void note(String line) {
+        System.out.println(record(line));
     }
 
-    /** Writes a line to the record, with the milliseconds since the start. */
-    synchronized void note(String line) {
+    /** Writes a line to the record alone, with the milliseconds since the start, and returns it. */
+    synchronized String record(String line) {
         String timed = String.format("%8d ms  %s", (System.nanoTime() - startedAt) / 1_000_000, line);
         record.println(timed);
-        System.out.println(timed);
+        return timed;
     }
 
     static int freePort() throws IOException {
