Review case 9: an accepted removal of a member is lost with the quorum

A node is removed for good by NAME.gone at the leader while two of three coordinators are stopped for 5 s. The leader moves the file to taken and logs the removal, loses its lease, and forgets it. The run of a case ends its processes on a signal too.

--- a/review/src-2/Lab.java
+++ b/review/src-2/Lab.java
@@ -59,6 +59,7 @@
     /** Runs a case and ends this process with its result. */
     static void main(String[] arguments, Body body) throws Exception {
         Lab lab = new Lab(Path.of(arguments[0]));
+        Runtime.getRuntime().addShutdownHook(new Thread(lab::endProcesses));
         Thread limit = new Thread(() -> {
             try {
                 Thread.sleep(LIMIT_MILLIS);
@@ -95,9 +96,7 @@
 
     private synchronized void end(int result) {
         log(result == HELD ? "result: the rule held" : result == BROKEN ? "result: the rule was broken" : "result: not run");
-        for (Process process : processes) {
-            process.destroyForcibly();
-        }
+        endProcesses();
         try (Stream<Path> files = Files.walk(directory)) {
             files.sorted(Comparator.reverseOrder()).map(Path::toFile).forEach(File::delete);
         } catch (IOException e) {
@@ -107,6 +106,17 @@
         Runtime.getRuntime().halt(result);
     }
 
+    private synchronized void endProcesses() {
+        processes.forEach(Process::destroyForcibly);
+        for (Process process : processes) {
+            try {
+                process.waitFor(5, TimeUnit.SECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+
     double seconds() {
         return (System.nanoTime() - startedAt) / 1e9;
     }
@@ -268,6 +278,18 @@
         return coordinators;
     }
 
+    /** Returns the coordinator that leads now; null if there is none. */
+    static Coordinator leader(List<Coordinator> coordinators) {
+        return coordinators.stream().filter(Coordinator::leads).findFirst().orElse(null);
+    }
+
+    /** Returns the list of members in the state of a coordinator, as JSON. */
+    static String members(Coordinator coordinator) {
+        String state = coordinator.state();
+        int start = state.indexOf("\"roster\"");
+        return start < 0 ? "" : state.substring(start, state.indexOf(']', start));
+    }
+
     /** A node behind its own discovery. */
     final class Node {
         final String name;
@@ -424,6 +446,11 @@
         }
     }
 
+    /** Makes a server reset the connection of the request that it handles. */
+    static final class Reset extends IOException {
+        private static final long serialVersionUID = 1L;
+    }
+
     /** Answers one request on a connection. */
     interface Handler {
         void handle(Answer request, OutputStream out) throws IOException;
@@ -444,9 +471,15 @@
                 daemon(() -> {
                     try (socket) {
                         socket.setTcpNoDelay(true);
+                        socket.setSoLinger(false, 0);
                         InputStream in = new BufferedInputStream(socket.getInputStream());
                         while (true) {
-                            handler.handle(read(in), socket.getOutputStream());
+                            try {
+                                handler.handle(read(in), socket.getOutputStream());
+                            } catch (Reset e) {
+                                socket.setSoLinger(true, 0);
+                                return;
+                            }
                         }
                     } catch (IOException e) {
                         // The peer has closed the connection.
--- a/review/src-2/Removed.java
+++ b/review/src-2/Removed.java
@@ -30,7 +30,7 @@
         lost.program.kill();
         // Longer than the last call of the lost node may wait for its answer at the leader.
         Lab.pause(3000);
-        Lab.Coordinator leader = leader(coordinators);
+        Lab.Coordinator leader = Lab.leader(coordinators);
         lab.log("state of the leader: " + leader.state());
 
         if (lab.trouble) {
@@ -54,10 +54,10 @@
         if (!accepted) {
             return Lab.NOT_RUN;
         }
-        lab.require("a coordinator leads", 20, () -> leader(coordinators) != null);
+        lab.require("a coordinator leads", 20, () -> Lab.leader(coordinators) != null);
         boolean removed = lab.await("n7 is no member", 20, () -> {
-            Lab.Coordinator now = leader(coordinators);
-            return now != null && !members(now).contains("\"n7\"");
+            Lab.Coordinator now = Lab.leader(coordinators);
+            return now != null && !Lab.members(now).contains("\"n7\"");
         });
         coordinators.get(0).layIn("rules.toml", RULES);
         boolean active = lab.await("n1, the only member that is left, decides by the next version", 20, () ->
@@ -68,14 +68,4 @@
         }
         return removed && active ? Lab.HELD : Lab.BROKEN;
     }
-
-    private static Lab.Coordinator leader(List<Lab.Coordinator> coordinators) {
-        return coordinators.stream().filter(Lab.Coordinator::leads).findFirst().orElse(null);
-    }
-
-    private static String members(Lab.Coordinator coordinator) {
-        String state = coordinator.state();
-        int start = state.indexOf("\"roster\"");
-        return start < 0 ? "\"n7\"" : state.substring(start, state.indexOf(']', start));
-    }
 }
