--- a/review/src-2/Zones.java
+++ b/review/src-2/Zones.java
@@ -25,7 +25,7 @@
     }
 
     private static int run(Lab lab) throws Exception {
-        // The servers of a zone share what they remember; no run is longer than the window.
+        // The servers of a zone share what they remember, for longer than the window; no call is longer than it.
         Map<String, List<String>> executions = new ConcurrentHashMap<>();
         Lab.Discovery discovery = lab.new Discovery();
         for (int i = 0; i < 6; i++) {
