--- a/testkit/src/main/java/weldhitch/testkit/FakeDiscovery.java
+++ b/testkit/src/main/java/weldhitch/testkit/FakeDiscovery.java
@@ -20,7 +20,7 @@
      *
      * @param changedIn the list version in which the entry changed last
      */
-    private record Endpoint(String address, String health, int changedIn) {}
+    private record Endpoint(String address, String zone, String health, int changedIn) {}
 
     private final Map<String, Endpoint> endpoints = new LinkedHashMap<>();
     private final ScriptedServer server;
@@ -48,23 +48,33 @@
         return server.address();
     }
 
-    /** Adds the endpoint to the list, or changes it, with health {@code ready}. */
+    /** Adds the endpoint to the list, or changes it, in zone {@code a} and with health {@code ready}. */
     public FakeDiscovery add(String name, String address) {
-        return update(name, address, "ready");
+        return add(name, address, "a");
+    }
+
+    /** Adds the endpoint to the list, or changes it, with health {@code ready}. */
+    public FakeDiscovery add(String name, String address, String zone) {
+        return update(name, address, zone, "ready");
     }
 
     /** Marks the listed endpoint as draining. */
     public FakeDiscovery drain(String name) {
-        return update(name, endpoints.get(name).address, "draining");
+        return changeHealth(name, "draining");
     }
 
     /** Marks the listed endpoint as removed. */
     public FakeDiscovery remove(String name) {
-        return update(name, endpoints.get(name).address, "gone");
+        return changeHealth(name, "gone");
+    }
+
+    private synchronized FakeDiscovery changeHealth(String name, String health) {
+        Endpoint endpoint = endpoints.get(name);
+        return update(name, endpoint.address, endpoint.zone, health);
     }
 
-    private synchronized FakeDiscovery update(String name, String address, String health) {
-        endpoints.put(name, new Endpoint(address, health, ++version));
+    private synchronized FakeDiscovery update(String name, String address, String zone, String health) {
+        endpoints.put(name, new Endpoint(address, zone, health, ++version));
         notifyAll();
         return this;
     }
@@ -129,7 +139,9 @@
                         .append(name)
                         .append("\",\"dial\":\"")
                         .append(endpoint.address)
-                        .append("\",\"site\":\"a\",\"class\":\"k\",\"block\":1,\"health\":\"")
+                        .append("\",\"site\":\"")
+                        .append(endpoint.zone)
+                        .append("\",\"class\":\"k\",\"block\":1,\"health\":\"")
                         .append(endpoint.health)
                         .append("\",\"share\":1.0,\"born_ms\":0}");
             }
--- a/testkit/src/main/java/weldhitch/testkit/fleet/NodeFleet.java
+++ b/testkit/src/main/java/weldhitch/testkit/fleet/NodeFleet.java
@@ -176,7 +176,7 @@
      * Returns the command in the deploy file, with a heap so small that many nodes fit on one machine, and with the jar
      * named by the system property {@code weldhitch.fleet.jar}, if it is set.
      */
-    private static List<String> nodeCommand(String extraArguments) throws Exception {
+    public static List<String> nodeCommand(String extraArguments) throws Exception {
         String jar = System.getProperty("weldhitch.fleet.jar", "");
         String command = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
                 .filter(line -> line.startsWith("run = "))
