Client library: repeat a keyed call only where all servers discard repeats

Cause: CallStateMachine.mayRetry took a key and an open window for permission. Which servers discard a repeat is a setting that only nodes have, and the node behind the repeat knows nothing of the first attempt and takes any zone. Evidence: both executions have ids of their own, lie in different zones and less than the window apart, and the first is in flight at the kill.

Change: a node states the deduplication scope of a request's class to a client that asks (X-Want-Deduplication-Scope, X-Deduplication-Scope); for callers that don't ask nothing changes. The library asks with keyed requests, keeps the latest statement of each node in use, and sends a keyed call that may have been executed again only if all servers discard its repeats. Classes may be declared for nodes that state nothing (ClientPolicy.withGloballyDeduplicatedClasses). The rule, scope and window, is mayBeSent: asked when a retry is planned, for the time at which it will be sent, and again when it is sent. The harness of CallStateMachineTest is a file of its own and checks scope and window of every attempt; the random histories then showed a call that was sent although a node had stated a limited scope while it waited.

Why it works: a repeat goes to any server that some node may choose, so it is harmless exactly where all servers discard it.

--- a/client/src/main/java/weldhitch/client/ConnectionPool.java
+++ b/client/src/main/java/weldhitch/client/ConnectionPool.java
@@ -98,7 +98,7 @@
             NodeConnection.AttemptListener listener) {
         if (handle.abandoned || closed) {
             if (!handle.abandoned) {
-                listener.onAttemptEnded(AttemptOutcome.NOT_SENT, 0, null);
+                listener.onAttemptEnded(AttemptResult.withoutResponse(AttemptOutcome.NOT_SENT));
             }
             return;
         }
@@ -129,7 +129,7 @@
                     connectsInProgress--;
                     if (!connectFuture.isSuccess()) {
                         if (!handle.abandoned) {
-                            listener.onAttemptEnded(AttemptOutcome.NOT_SENT, 0, null);
+                            listener.onAttemptEnded(AttemptResult.withoutResponse(AttemptOutcome.NOT_SENT));
                         }
                     } else if (closed) {
                         connection.close();
--- a/client/src/main/java/weldhitch/client/NodeConnection.java
+++ b/client/src/main/java/weldhitch/client/NodeConnection.java
@@ -6,7 +6,6 @@
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import java.time.Instant;
@@ -32,13 +31,8 @@
 
     /** Receives the outcome of an attempt, once. */
     interface AttemptListener {
-        /**
-         * Called when the attempt has ended.
-         *
-         * @param retryAfterNanos the node's Retry-After in nanoseconds; 0 if there is none
-         * @param body the body of the response; null unless the outcome is {@link AttemptOutcome#OK}
-         */
-        void onAttemptEnded(AttemptOutcome outcome, long retryAfterNanos, byte[] body);
+        /** Called when the attempt has ended. */
+        void onAttemptEnded(AttemptResult result);
     }
 
     final String node;
@@ -118,32 +112,22 @@
         if (listener == null || !requestWritten || response.decoderResult().isFailure()) {
             // After an unsolicited or malformed response, no later response can be matched to its request, so the
             // connection is closed.
-            endAttempt(AttemptOutcome.TRANSPORT_ERROR, 0, null);
+            endAttempt(AttemptResult.withoutResponse(AttemptOutcome.TRANSPORT_ERROR));
             channel.close();
             return;
         }
         boolean keepAlive = HttpUtil.isKeepAlive(response);
         closeAnnounced |= !keepAlive;
-        int status = response.status().code();
-        byte[] body = null;
-        if (status == 200) {
-            body = new byte[response.content().readableBytes()];
-            response.content().readBytes(body);
-        }
-        long retryAfter =
-                RetryAfterHeader.parseNanos(response.headers().get(HttpHeaderNames.RETRY_AFTER), Instant.now());
+        AttemptResult result = AttemptResult.of(response, Instant.now());
         hasReceivedResponse = true;
-        AttemptOutcome outcome = status == 200
-                ? AttemptOutcome.OK
-                : status == 429 || status == 503 ? AttemptOutcome.REJECTED : AttemptOutcome.ERROR_RESPONSE;
         if (keepAlive) {
             AttemptListener attemptListener = listener;
             listener = null;
             owner.onIdle(this);
-            attemptListener.onAttemptEnded(outcome, retryAfter, body);
+            attemptListener.onAttemptEnded(result);
         } else {
             channel.close();
-            endAttempt(outcome, retryAfter, body);
+            endAttempt(result);
         }
     }
 
@@ -156,20 +140,18 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         // A request that was not completely written cannot have been executed. A completely written one may have
         // been executed, even if the node had closed the connection before.
-        endAttempt(
+        endAttempt(AttemptResult.withoutResponse(
                 !requestWritten
                         ? AttemptOutcome.NOT_SENT
-                        : hasReceivedResponse ? AttemptOutcome.STALE_CONNECTION : AttemptOutcome.TRANSPORT_ERROR,
-                0,
-                null);
+                        : hasReceivedResponse ? AttemptOutcome.STALE_CONNECTION : AttemptOutcome.TRANSPORT_ERROR));
         owner.onClosed(this, closeAnnounced);
     }
 
-    private void endAttempt(AttemptOutcome outcome, long retryAfter, byte[] body) {
+    private void endAttempt(AttemptResult result) {
         AttemptListener attemptListener = listener;
         listener = null;
         if (attemptListener != null) {
-            attemptListener.onAttemptEnded(outcome, retryAfter, body);
+            attemptListener.onAttemptEnded(result);
         }
     }
 }
--- a/client/src/main/java/weldhitch/client/WeldhitchClient.java
+++ b/client/src/main/java/weldhitch/client/WeldhitchClient.java
@@ -181,19 +181,7 @@
             call.attemptHandle = connectionPool.send(
                     attempt.node(),
                     () -> toHttpRequest(call.request, attempt, deadline),
-                    (outcome, retryAfter, body) -> {
-                        call.responseBody = body;
-                        if (outcome != AttemptOutcome.OK) {
-                            LOG.debug(
-                                    "attempt {} of request class {} at node {} ended: {}",
-                                    attempt.attempt(),
-                                    call.request.requestClass(),
-                                    attempt.node(),
-                                    outcome);
-                        }
-                        submit(new CallStateMachine.AttemptEnded(
-                                attempt.callId(), attempt.attempt(), outcome, retryAfter));
-                    });
+                    result -> onAttemptEnded(call, attempt, result));
         } else if (action instanceof CallStateMachine.CancelAttempt) {
             pendingCalls
                     .get(((CallStateMachine.CancelAttempt) action).callId())
@@ -212,6 +200,25 @@
         }
     }
 
+    private void onAttemptEnded(PendingCall call, CallStateMachine.SendAttempt attempt, AttemptResult result) {
+        call.responseBody = result.body();
+        String requestClass = call.request.requestClass();
+        if (result.outcome() != AttemptOutcome.OK) {
+            LOG.debug(
+                    "attempt {} of request class {} at node {} ended: {}",
+                    attempt.attempt(),
+                    requestClass,
+                    attempt.node(),
+                    result.outcome());
+        }
+        if (result.deduplicationScope() != null) {
+            submit(new CallStateMachine.DeduplicationScopeStated(
+                    attempt.node(), requestClass, result.deduplicationScope()));
+        }
+        submit(new CallStateMachine.AttemptEnded(
+                attempt.callId(), attempt.attempt(), result.outcome(), result.retryAfterNanos()));
+    }
+
     private static void complete(PendingCall call, CallStateMachine.CompleteCall completion) {
         switch (completion.result()) {
             case SUCCEEDED -> call.response.complete(new Response(call.responseBody, completion.attempts()));
@@ -248,6 +255,7 @@
         }
         if (request.idempotencyKey() != null) {
             httpRequest.headers().set("Idempotency-Key", request.idempotencyKey());
+            httpRequest.headers().set(DeduplicationScopeHeader.REQUEST_NAME, DeduplicationScopeHeader.WANTED);
         }
         if (attempt.attempt() > 0) {
             httpRequest.headers().set("X-Second-Try", "1");
--- a/client/src/main/java/weldhitch/client/policy/CallStateMachine.java
+++ b/client/src/main/java/weldhitch/client/policy/CallStateMachine.java
@@ -12,9 +12,10 @@
  * call ends. Driven by {@code WeldhitchClient}, which executes the returned actions.
  *
  * <p>Invariants: A non-idempotent call is retried only if all its earlier attempts are known not to have been
- * executed. A call with an idempotency key is retried only within the deduplication window. No attempt starts that
- * cannot end before the deadline. A call that can no longer succeed ends at once. A node that sent Retry-After gets
- * no attempt of any call until that time has passed. Each client spreads its reconnects to lost nodes differently.
+ * executed. A call with an idempotency key that may have been executed is retried only if all servers are known to
+ * discard repeats of its class, and only within the deduplication window. No attempt starts that cannot end before the
+ * deadline. A call that can no longer succeed ends at once. A node that sent Retry-After gets no attempt of any call
+ * until that time has passed. Each client spreads its reconnects to lost nodes differently.
  *
  * <p>Single-threaded. The caller passes the time in nanoseconds from any origin, and all randomness comes from the
  * seed.
@@ -22,7 +23,13 @@
 public final class CallStateMachine {
     /** An input of the state machine. */
     public sealed interface Event
-            permits CallStarted, AttemptEnded, CallCancelled, TimerFired, ConnectionLost, NodesChanged {}
+            permits CallStarted,
+                    AttemptEnded,
+                    CallCancelled,
+                    TimerFired,
+                    ConnectionLost,
+                    NodesChanged,
+                    DeduplicationScopeStated {}
 
     /**
      * Starts a call.
@@ -51,6 +58,10 @@
     /** Replaces the list of nodes. */
     public record NodesChanged(List<String> addresses) implements Event {}
 
+    /** Reports which servers discard repeats of a request class, as a node has stated. */
+    public record DeduplicationScopeStated(String node, String requestClass, StatedDeduplicationScope scope)
+            implements Event {}
+
     /** An output of the state machine; actions are executed in the order returned. */
     public sealed interface Action permits SendAttempt, CancelAttempt, CompleteCall, ScheduleTimer {}
 
@@ -91,6 +102,7 @@
     private final UniformRandomProvider random;
     private final ReconnectJitter reconnectJitter;
     private final RetryBudget retryBudget;
+    private final DeduplicationScopes deduplicationScopes;
     private final Map<String, NodeState> nodes = new LinkedHashMap<>();
     private final Map<Long, OutgoingCall> calls = new LinkedHashMap<>();
     private final Map<String, LatencyEstimate> latencyByClass = new LinkedHashMap<>();
@@ -109,6 +121,7 @@
         random = new SplitMix64(seed);
         reconnectJitter = new ReconnectJitter(policy.minReconnectWindow(), policy.maxReconnectWindow());
         retryBudget = new RetryBudget(policy.retryRatio(), policy.minRetriesPerSecond());
+        deduplicationScopes = new DeduplicationScopes(policy.globallyDeduplicatedClasses());
         updateNodes(addresses);
     }
 
@@ -136,6 +149,8 @@
             }
         } else if (event instanceof NodesChanged e) {
             updateNodes(e.addresses());
+        } else if (event instanceof DeduplicationScopeStated e) {
+            recordDeduplicationScope(e);
         } else {
             timerAt = Long.MAX_VALUE;
         }
@@ -146,9 +161,17 @@
     private void updateNodes(List<String> addresses) {
         List<String> subset = NodeSubset.select(addresses, policy.subsetSize(), clientId);
         nodes.keySet().retainAll(subset);
+        deduplicationScopes.retainNodes(subset);
         subset.forEach(address -> nodes.computeIfAbsent(address, NodeState::new));
     }
 
+    /** Ignores a statement of a node that this client no longer uses, because nothing would ever replace it. */
+    private void recordDeduplicationScope(DeduplicationScopeStated stated) {
+        if (nodes.containsKey(stated.node())) {
+            deduplicationScopes.record(stated.node(), stated.requestClass(), stated.scope());
+        }
+    }
+
     private void startCall(CallStarted started) {
         if (calls.containsKey(started.callId())) {
             return;
@@ -222,6 +245,10 @@
 
     /** Sends the call to a node, lets it wait if that can help, or ends it. */
     private void sendAttempt(OutgoingCall call) {
+        if (!mayBeSent(call, now)) {
+            endUnanswered(call, 0);
+            return;
+        }
         if (nodes.isEmpty()) {
             complete(call, call.possiblyExecuted ? unansweredResult(call) : CallResult.UNREACHABLE, 0);
             return;
@@ -234,7 +261,7 @@
                     .orElse(Long.MAX_VALUE);
             if (earliestAvailable < Long.MAX_VALUE
                     && earliestAvailable > now
-                    && !canFinishInTime(call, earliestAvailable)) {
+                    && !(canFinishInTime(call, earliestAvailable) && mayBeSent(call, earliestAvailable))) {
                 failWithoutAttempt(call, earliestAvailable - now);
                 return;
             }
@@ -368,7 +395,7 @@
     }
 
     private void retryOrEnd(OutgoingCall call, long retryAfter) {
-        if (!mayRetry(call) || call.attempts >= policy.maxAttempts()) {
+        if (!mayBeSent(call, now) || call.attempts >= policy.maxAttempts()) {
             endUnanswered(call, retryAfter);
             return;
         }
@@ -396,18 +423,24 @@
             // The retry goes to another node, which has not sent Retry-After.
             retryAt = now + call.backoff;
         }
-        if (!canFinishInTime(call, retryAt)) {
+        if (!canFinishInTime(call, retryAt) || !mayBeSent(call, retryAt)) {
             endUnanswered(call, retryAfter);
             return;
         }
         call.resumeAt = retryAt;
     }
 
-    private boolean mayRetry(OutgoingCall call) {
+    /**
+     * Returns whether an attempt at this time is harmless even if an earlier attempt was executed. Checked when a retry
+     * is planned and again when it is sent, because the deduplication window may end, and a node may state another
+     * scope, while the call waits.
+     */
+    private boolean mayBeSent(OutgoingCall call, long time) {
         return !call.possiblyExecuted
                 || call.idempotency == Idempotency.IDEMPOTENT
                 || call.idempotency == Idempotency.IDEMPOTENCY_KEY
-                        && now - call.possiblyExecutedSince < policy.deduplicationWindow();
+                        && deduplicationScopes.coversAllServers(call.requestClass)
+                        && time - call.possiblyExecutedSince < policy.deduplicationWindow();
     }
 
     private void endUnanswered(OutgoingCall call, long retryAfter) {
--- a/client/src/main/java/weldhitch/client/policy/ClientPolicy.java
+++ b/client/src/main/java/weldhitch/client/policy/ClientPolicy.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 
 /**
  * The retry, throttling and ejection settings of a client; durations are nanoseconds. Immutable.
@@ -20,6 +21,8 @@
  *     {@code minReconnectWindow} to 1 hour
  * @param subsetSize how many of the nodes this client uses; 1 or more
  * @param deduplicationWindow deduplication window of the servers; 0 if they do not deduplicate
+ * @param globallyDeduplicatedClasses request classes whose repeats all servers discard by the idempotency key, not only
+ *     those of one zone or cell; counts for as long as no node has stated the deduplication scope of the class
  */
 public record ClientPolicy(
         int maxAttempts,
@@ -32,7 +35,8 @@
         long minReconnectWindow,
         long maxReconnectWindow,
         int subsetSize,
-        long deduplicationWindow) {
+        long deduplicationWindow,
+        Set<String> globallyDeduplicatedClasses) {
     public static final long MS = 1_000_000L;
     public static final long SECOND = 1_000 * MS;
     public static final ClientPolicy DEFAULTS =
@@ -44,6 +48,7 @@
      * @throws IllegalArgumentException if components are out of range; the message names all of them
      */
     public ClientPolicy {
+        globallyDeduplicatedClasses = Set.copyOf(globallyDeduplicatedClasses);
         List<String> errors = new ArrayList<>();
         check(errors, maxAttempts >= 1 && maxAttempts <= 10, "maxAttempts", maxAttempts, "1 to 10");
         check(
@@ -96,6 +101,55 @@
         }
     }
 
+    /**
+     * Creates a policy that declares no globally deduplicated classes: the scope of each class is what nodes state.
+     *
+     * @throws IllegalArgumentException if components are out of range; the message names all of them
+     */
+    public ClientPolicy(
+            int maxAttempts,
+            long initialBackoff,
+            long maxBackoff,
+            double retryRatio,
+            double minRetriesPerSecond,
+            double throttleMultiplier,
+            int ejectionThreshold,
+            long minReconnectWindow,
+            long maxReconnectWindow,
+            int subsetSize,
+            long deduplicationWindow) {
+        this(
+                maxAttempts,
+                initialBackoff,
+                maxBackoff,
+                retryRatio,
+                minRetriesPerSecond,
+                throttleMultiplier,
+                ejectionThreshold,
+                minReconnectWindow,
+                maxReconnectWindow,
+                subsetSize,
+                deduplicationWindow,
+                Set.of());
+    }
+
+    /** Returns a copy that declares these classes as globally deduplicated, in place of those it had. */
+    public ClientPolicy withGloballyDeduplicatedClasses(String... requestClasses) {
+        return new ClientPolicy(
+                maxAttempts,
+                initialBackoff,
+                maxBackoff,
+                retryRatio,
+                minRetriesPerSecond,
+                throttleMultiplier,
+                ejectionThreshold,
+                minReconnectWindow,
+                maxReconnectWindow,
+                subsetSize,
+                deduplicationWindow,
+                Set.of(requestClasses));
+    }
+
     private static void check(List<String> errors, boolean valid, String name, Object value, String expected) {
         if (!valid) {
             errors.add(name + ": " + value + ", expected " + expected);
--- a/client/src/test/java/weldhitch/client/WeldhitchClientTest.java
+++ b/client/src/test/java/weldhitch/client/WeldhitchClientTest.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import weldhitch.client.policy.CallResult;
 import weldhitch.client.policy.ClientPolicy;
@@ -197,6 +198,53 @@
         }
     }
 
+    /**
+     * Regression: a call with an idempotency key that may have been executed was repeated whichever servers discard
+     * repeats. It is repeated only where a node has stated that all servers do, as clients are promised.
+     */
+    @ParameterizedTest
+    @CsvSource({"all, 2", " all , 2", "zone, 1", "cell, 1", "none, 1", "ALL, 1", "region, 1", "'', 1"})
+    void keyedCallIsRepeatedByTheScopeThatTheNodeStates(String scope, int expectedAttempts) throws Exception {
+        AtomicInteger requestCount = new AtomicInteger();
+        ScriptedServer node = new ScriptedServer(connection -> {
+            for (RawHttpMessage m = connection.readMessage(); m != null; m = connection.readMessage()) {
+                if (requestCount.incrementAndGet() == 2) {
+                    connection.reset();
+                    return;
+                }
+                String statement = "1".equals(m.header("x-want-deduplication-scope"))
+                        ? "\r\nX-Deduplication-Scope: " + scope + "\r\n"
+                        : "\r\n";
+                connection.write(ok("booked").replaceFirst("\r\n", statement));
+            }
+        });
+        try (node;
+                WeldhitchClient client = client(node.address())) {
+            client.send(Request.withIdempotencyKey("book-visit", "k-1", BODY));
+            Request lost = Request.withIdempotencyKey("book-visit", "k-2", BODY);
+            if (expectedAttempts > 1) {
+                assertEquals(expectedAttempts, client.send(lost).attempts());
+            } else {
+                assertThrows(CallException.OutcomeUnknown.class, () -> client.send(lost));
+            }
+            assertEquals(1 + expectedAttempts, requestCount.get());
+        }
+    }
+
+    /** Only a request with an idempotency key asks for the scope: every other request is as it was. */
+    @Test
+    void onlyKeyedRequestsAskForTheDeduplicationScope() throws Exception {
+        try (ScriptedServer node = ScriptedServer.respondingWith(m -> ok("x"));
+                WeldhitchClient client = client(node.address())) {
+            client.send(Request.idempotent("view-slots"));
+            client.send(Request.nonIdempotent("book-visit", BODY));
+            client.send(Request.withIdempotencyKey("book-visit", "k-1", BODY));
+            assertEquals(null, node.nextRequest().header("x-want-deduplication-scope"));
+            assertEquals(null, node.nextRequest().header("x-want-deduplication-scope"));
+            assertEquals("1", node.nextRequest().header("x-want-deduplication-scope"));
+        }
+    }
+
     @Test
     void callsThatWereNotExecutedAreRetriedEvenIfNonIdempotent() throws Exception {
         try (ScriptedHttpServer node =
--- a/client/src/test/java/weldhitch/client/policy/CallStateMachineTest.java
+++ b/client/src/test/java/weldhitch/client/policy/CallStateMachineTest.java
@@ -5,8 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
@@ -19,18 +17,9 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.core.source64.SplitMix64;
 import org.junit.jupiter.api.Test;
-import weldhitch.client.policy.CallStateMachine.Action;
-import weldhitch.client.policy.CallStateMachine.AttemptEnded;
 import weldhitch.client.policy.CallStateMachine.CallCancelled;
-import weldhitch.client.policy.CallStateMachine.CallStarted;
-import weldhitch.client.policy.CallStateMachine.CancelAttempt;
-import weldhitch.client.policy.CallStateMachine.CompleteCall;
 import weldhitch.client.policy.CallStateMachine.ConnectionLost;
-import weldhitch.client.policy.CallStateMachine.Event;
-import weldhitch.client.policy.CallStateMachine.NodesChanged;
-import weldhitch.client.policy.CallStateMachine.ScheduleTimer;
 import weldhitch.client.policy.CallStateMachine.SendAttempt;
-import weldhitch.client.policy.CallStateMachine.TimerFired;
 
 /**
  * Tests the client state machine with a manual clock: exhaustively for up to three attempts, and with random events.
@@ -41,103 +30,45 @@
     /** No throttling, and a practically unlimited retry budget. */
     private static final ClientPolicy LENIENT_POLICY =
             new ClientPolicy(3, 10 * MS, S, 1, 1000, 100, 3, S, 60 * S, 3, 0);
+    /** The same with a deduplication window that no call of a test exceeds. */
+    private static final ClientPolicy KEYED_POLICY =
+            new ClientPolicy(3, 10 * MS, S, 1, 1000, 100, 3, S, 60 * S, 3, 60 * S);
 
-    /** Drives a state machine with a manual clock, and asserts the invariants of every run. */
-    private static final class ClientHarness {
-        final CallStateMachine stateMachine;
-        final Map<Long, Idempotency> idempotencyByCall = new LinkedHashMap<>();
-        final Map<Long, Long> deadlineByCall = new LinkedHashMap<>();
-        final Map<Long, SendAttempt> outstanding = new LinkedHashMap<>();
-        final Map<Long, Integer> possibleExecutions = new LinkedHashMap<>();
-        final Map<Long, CompleteCall> completions = new LinkedHashMap<>();
-        final List<SendAttempt> attempts = new ArrayList<>();
-        long now = 1000 * S;
-        long timerAt = Long.MAX_VALUE;
-
-        ClientHarness(ClientPolicy policy, long seed, String... nodes) {
-            stateMachine = new CallStateMachine(policy, List.of(nodes), seed);
-        }
-
-        void handle(Event event) {
-            for (Action action : stateMachine.handle(now, event)) {
-                if (action instanceof SendAttempt attempt) {
-                    assertFalse(completions.containsKey(attempt.callId()), "attempt after completion: " + attempt);
-                    assertFalse(outstanding.containsKey(attempt.callId()), "two concurrent attempts: " + attempt);
-                    assertEquals(deadlineByCall.get(attempt.callId()) - now, attempt.remainingTime());
-                    assertTrue(attempt.remainingTime() > 0, "attempt after the deadline");
-                    assertTrue(
-                            idempotencyByCall.get(attempt.callId()) != Idempotency.NON_IDEMPOTENT
-                                    || possibleExecutions.getOrDefault(attempt.callId(), 0) == 0,
-                            "possibly executed twice: " + attempt);
-                    outstanding.put(attempt.callId(), attempt);
-                    attempts.add(attempt);
-                } else if (action instanceof CompleteCall completion) {
-                    assertEquals(null, completions.put(completion.callId(), completion), "call completed twice");
-                    outstanding.remove(completion.callId());
-                    boolean notExecuted = possibleExecutions.getOrDefault(completion.callId(), 0) == 0;
-                    switch (completion.result()) {
-                        case REJECTED, THROTTLED, UNREACHABLE, DEADLINE_EXCEEDED ->
-                            assertTrue(
-                                    notExecuted || idempotencyByCall.get(completion.callId()) == Idempotency.IDEMPOTENT,
-                                    "reported as not executed, but possibly executed: " + completion);
-                        case FAILED -> assertEquals(Idempotency.IDEMPOTENT, idempotencyByCall.get(completion.callId()));
-                        case OUTCOME_UNKNOWN ->
-                            assertTrue(idempotencyByCall.get(completion.callId()) != Idempotency.IDEMPOTENT);
-                        case SUCCEEDED, CANCELLED -> {}
-                    }
-                } else if (action instanceof CancelAttempt cancelled) {
-                    possibleExecutions.merge(cancelled.callId(), 1, Integer::sum);
-                    outstanding.remove(cancelled.callId());
-                } else if (action instanceof ScheduleTimer timer) {
-                    timerAt = Math.min(timerAt, timer.at());
-                }
-            }
+    /**
+     * Tries every combination of outcomes of up to three attempts, including no response; the harness asserts the
+     * invariants.
+     */
+    @Test
+    void noSequenceOfOutcomesExecutesANonIdempotentCallTwiceOrLeavesACallPending() {
+        for (ScopeKnowledge knowledge : ScopeKnowledge.values()) {
+            endEveryCallAfterEverySequenceOfOutcomes(knowledge);
         }
+    }
 
-        void startCall(long callId, Idempotency idempotency, long timeout) {
-            idempotencyByCall.put(callId, idempotency);
-            deadlineByCall.put(callId, now + timeout);
-            handle(new CallStarted(callId, "c", idempotency, now + timeout));
-        }
+    /** What a client with two nodes knows of the deduplication scope. */
+    private enum ScopeKnowledge {
+        NONE,
+        DECLARED,
+        STATED,
+        CONTRADICTED;
 
-        void endAttempt(long callId, AttemptOutcome outcome, long retryAfter) {
-            SendAttempt attempt = outstanding.remove(callId);
-            if (!outcome.notExecuted && outcome != AttemptOutcome.OK) {
-                possibleExecutions.merge(callId, 1, Integer::sum);
+        ClientHarness harness(ClientPolicy policy, long seed) {
+            ClientHarness harness = new ClientHarness(
+                    this == DECLARED || this == CONTRADICTED ? policy.withGloballyDeduplicatedClasses("c") : policy,
+                    seed,
+                    "a:1",
+                    "b:1");
+            if (this == STATED || this == CONTRADICTED) {
+                harness.stateScope("a:1", StatedDeduplicationScope.ALL_SERVERS);
             }
-            handle(new AttemptEnded(callId, attempt.attempt(), outcome, retryAfter));
-        }
-
-        /** Advances the clock to this time and fires every timer on the way. */
-        void advanceTo(long time) {
-            while (timerAt <= time) {
-                now = Math.max(now, timerAt);
-                timerAt = Long.MAX_VALUE;
-                handle(new TimerFired());
+            if (this == CONTRADICTED) {
+                harness.stateScope("b:1", StatedDeduplicationScope.LIMITED);
             }
-            now = time;
-        }
-
-        /** Drops the records of ended calls, because those of thousands of clients would not fit into memory. */
-        void clearHistory() {
-            idempotencyByCall.clear();
-            deadlineByCall.clear();
-            possibleExecutions.clear();
-            completions.clear();
-            attempts.clear();
-        }
-
-        CallResult result(long callId) {
-            return completions.containsKey(callId) ? completions.get(callId).result() : null;
+            return harness;
         }
     }
 
-    /**
-     * Tries every combination of outcomes of up to three attempts, including no response; the harness asserts the
-     * invariants.
-     */
-    @Test
-    void noSequenceOfOutcomesExecutesANonIdempotentCallTwiceOrLeavesACallPending() {
+    private static void endEveryCallAfterEverySequenceOfOutcomes(ScopeKnowledge knowledge) {
         int steps = 0;
         for (Idempotency idempotency : Idempotency.values()) {
             for (long deduplicationWindow : new long[] {0, 300 * MS, 60 * S}) {
@@ -146,7 +77,7 @@
                 int endings = AttemptOutcome.values().length + 1;
                 for (int sequence = 0; sequence < endings * endings * endings; sequence++) {
                     for (long pause : new long[] {0, 1, 400 * MS}) {
-                        ClientHarness harness = new ClientHarness(policy, sequence, "a:1", "b:1");
+                        ClientHarness harness = knowledge.harness(policy, sequence);
                         harness.startCall(1, idempotency, 2 * S);
                         int remainder = sequence;
                         for (int i = 0; i < 3 && harness.result(1) == null; i++, remainder /= endings) {
@@ -196,9 +127,18 @@
         String[] nodeNames =
                 IntStream.range(0, nodeCount).mapToObj(i -> "n" + i + ":1").toArray(String[]::new);
         ClientHarness harness = new ClientHarness(policy, seed, nodeNames);
+        UniformRandomProvider scopeRandom = new SplitMix64(~seed);
+        boolean limitedScopes = scopeRandom.nextBoolean();
         long callCount = 0;
         for (int step = 0; step < 400; step++) {
             harness.advanceTo(harness.now + random.nextInt(100) * MS);
+            if (scopeRandom.nextInt(10) == 0) {
+                harness.stateScope(
+                        nodeNames[scopeRandom.nextInt(nodeCount)],
+                        limitedScopes && scopeRandom.nextInt(4) == 0
+                                ? StatedDeduplicationScope.LIMITED
+                                : StatedDeduplicationScope.ALL_SERVERS);
+            }
             int choice = random.nextInt(10);
             if (choice < 4 || harness.outstanding.isEmpty()) {
                 harness.startCall(
@@ -215,10 +155,7 @@
                                 ? new CallCancelled(1 + random.nextLong(callCount))
                                 : new ConnectionLost(nodeNames[random.nextInt(nodeCount)]));
             } else {
-                harness.handle(
-                        random.nextInt(4) == 0
-                                ? new NodesChanged(List.of(nodeNames[0]))
-                                : new NodesChanged(List.of(nodeNames)));
+                harness.changeNodes(random.nextInt(4) == 0 ? List.of(nodeNames[0]) : List.of(nodeNames));
             }
         }
         harness.advanceTo(harness.now + 4 * S);
@@ -235,6 +172,80 @@
         assertTrue(retries <= allowedRetries, retries + " retries, " + allowedRetries + " allowed");
     }
 
+    /**
+     * Regression: calls with an idempotency key were repeated by another node, which may forward them to servers that
+     * do not discard the repeat, so that they were executed twice.
+     */
+    @Test
+    void keyedCallIsRepeatedOnlyWhereAllServersAreKnownToDiscardRepeats() {
+        for (ScopeKnowledge knowledge : ScopeKnowledge.values()) {
+            for (AttemptOutcome outcome : AttemptOutcome.values()) {
+                if (outcome == AttemptOutcome.OK) {
+                    continue;
+                }
+                ClientHarness harness = knowledge.harness(KEYED_POLICY, 1);
+                harness.startCall(1, Idempotency.IDEMPOTENCY_KEY, 3 * S);
+                harness.endAttempt(1, outcome, 0);
+                harness.advanceTo(harness.now + S);
+                boolean mayRepeat = outcome.notExecuted
+                        || knowledge == ScopeKnowledge.DECLARED
+                        || knowledge == ScopeKnowledge.STATED;
+                assertEquals(mayRepeat ? 2 : 1, harness.attempts.size(), knowledge + ", " + outcome);
+                assertEquals(
+                        mayRepeat ? null : CallResult.OUTCOME_UNKNOWN, harness.result(1), knowledge + ", " + outcome);
+            }
+        }
+    }
+
+    /** A node's latest statement counts, and it is forgotten with the node. */
+    @Test
+    void deduplicationScopeFollowsTheNodesInUse() {
+        ClientHarness harness = new ClientHarness(KEYED_POLICY, 1, "a:1", "b:1");
+        harness.stateScope("a:1", StatedDeduplicationScope.ALL_SERVERS);
+        harness.stateScope("b:1", StatedDeduplicationScope.LIMITED);
+        assertFalse(isRepeated(harness, 1));
+        harness.stateScope("b:1", StatedDeduplicationScope.ALL_SERVERS);
+        assertTrue(isRepeated(harness, 2));
+        harness.stateScope("b:1", StatedDeduplicationScope.LIMITED);
+        assertFalse(isRepeated(harness, 3));
+        harness.changeNodes(List.of("a:1", "c:1"));
+        assertTrue(isRepeated(harness, 4));
+        harness.stateScope("b:1", StatedDeduplicationScope.LIMITED);
+        assertTrue(isRepeated(harness, 5), "statement of a node that is not in use");
+        harness.changeNodes(List.of("c:1", "d:1"));
+        assertFalse(isRepeated(harness, 6), "no node in use has stated a scope");
+    }
+
+    /**
+     * Regression: the deduplication window was compared when an attempt ended, but not when the next one was sent,
+     * which is later by the backoff, or by as long as no node is available.
+     */
+    @Test
+    void keyedCallIsNotRepeatedWhenItsDeduplicationWindowEndsWhileItWaits() {
+        ClientPolicy policy = new ClientPolicy(3, 10 * MS, S, 1, 1000, 100, 3, S, 60 * S, 3, S / 2)
+                .withGloballyDeduplicatedClasses("c");
+        ClientHarness harness = new ClientHarness(policy, 1, "a:1");
+        harness.startCall(1, Idempotency.IDEMPOTENCY_KEY, 10 * S);
+        harness.startCall(2, Idempotency.IDEMPOTENCY_KEY, 10 * S);
+        harness.endAttempt(1, AttemptOutcome.REJECTED, S);
+        harness.endAttempt(2, AttemptOutcome.TRANSPORT_ERROR, 0);
+        harness.advanceTo(harness.now + S / 2);
+        assertEquals(CallResult.OUTCOME_UNKNOWN, harness.result(2), "ends as soon as no attempt can be in the window");
+        assertEquals(1, harness.completions.get(2L).attempts());
+    }
+
+    /** Lets the first attempt of a keyed call end without a response, and returns whether there is another. */
+    private static boolean isRepeated(ClientHarness harness, long callId) {
+        harness.startCall(callId, Idempotency.IDEMPOTENCY_KEY, 3 * S);
+        harness.endAttempt(callId, AttemptOutcome.STALE_CONNECTION, 0);
+        harness.advanceTo(harness.now + S);
+        boolean repeated = harness.outstanding.containsKey(callId);
+        if (repeated) {
+            harness.endAttempt(callId, AttemptOutcome.OK, 0);
+        }
+        return repeated;
+    }
+
     @Test
     void retryAfterDelaysAllCallsToTheNode() {
         ClientHarness harness = new ClientHarness(LENIENT_POLICY, 1, "a:1");
--- /dev/null
+++ b/client/src/test/java/weldhitch/client/policy/ClientHarness.java
@@ -0,0 +1,164 @@
+package weldhitch.client.policy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import weldhitch.client.policy.CallStateMachine.Action;
+import weldhitch.client.policy.CallStateMachine.AttemptEnded;
+import weldhitch.client.policy.CallStateMachine.CallStarted;
+import weldhitch.client.policy.CallStateMachine.CancelAttempt;
+import weldhitch.client.policy.CallStateMachine.CompleteCall;
+import weldhitch.client.policy.CallStateMachine.DeduplicationScopeStated;
+import weldhitch.client.policy.CallStateMachine.Event;
+import weldhitch.client.policy.CallStateMachine.NodesChanged;
+import weldhitch.client.policy.CallStateMachine.ScheduleTimer;
+import weldhitch.client.policy.CallStateMachine.SendAttempt;
+import weldhitch.client.policy.CallStateMachine.TimerFired;
+
+/**
+ * Drives a {@link CallStateMachine} with a manual clock, and asserts the invariants of every run. All calls are of one
+ * request class. Used by one test thread.
+ */
+final class ClientHarness {
+    private static final String REQUEST_CLASS = "c";
+    private static final long S = ClientPolicy.SECOND;
+
+    final CallStateMachine stateMachine;
+    private final long deduplicationWindow;
+    private final boolean declaredGloballyDeduplicated;
+    private final Map<String, StatedDeduplicationScope> statedScopes = new LinkedHashMap<>();
+    final Map<Long, Idempotency> idempotencyByCall = new LinkedHashMap<>();
+    final Map<Long, Long> deadlineByCall = new LinkedHashMap<>();
+    final Map<Long, SendAttempt> outstanding = new LinkedHashMap<>();
+    final Map<Long, Integer> possibleExecutions = new LinkedHashMap<>();
+    /** Time at which the first attempt of each call was sent that may have been executed, in nanoseconds. */
+    private final Map<Long, Long> possiblyExecutedSince = new LinkedHashMap<>();
+
+    private final Map<Long, Long> lastSentAt = new LinkedHashMap<>();
+    final Map<Long, CompleteCall> completions = new LinkedHashMap<>();
+    final List<SendAttempt> attempts = new ArrayList<>();
+    long now = 1000 * S;
+    long timerAt = Long.MAX_VALUE;
+
+    ClientHarness(ClientPolicy policy, long seed, String... nodes) {
+        stateMachine = new CallStateMachine(policy, List.of(nodes), seed);
+        deduplicationWindow = policy.deduplicationWindow();
+        declaredGloballyDeduplicated = policy.globallyDeduplicatedClasses().contains(REQUEST_CLASS);
+    }
+
+    void handle(Event event) {
+        for (Action action : stateMachine.handle(now, event)) {
+            if (action instanceof SendAttempt attempt) {
+                assertFalse(completions.containsKey(attempt.callId()), "attempt after completion: " + attempt);
+                assertFalse(outstanding.containsKey(attempt.callId()), "two concurrent attempts: " + attempt);
+                assertEquals(deadlineByCall.get(attempt.callId()) - now, attempt.remainingTime());
+                assertTrue(attempt.remainingTime() > 0, "attempt after the deadline");
+                assertTrue(
+                        idempotencyByCall.get(attempt.callId()) != Idempotency.NON_IDEMPOTENT
+                                || possibleExecutions.getOrDefault(attempt.callId(), 0) == 0,
+                        "possibly executed twice: " + attempt);
+                assertTrue(
+                        idempotencyByCall.get(attempt.callId()) != Idempotency.IDEMPOTENCY_KEY
+                                || possibleExecutions.getOrDefault(attempt.callId(), 0) == 0
+                                || allServersDeduplicate(),
+                        "possibly executed again by servers that do not discard repeats: " + attempt);
+                assertTrue(
+                        idempotencyByCall.get(attempt.callId()) != Idempotency.IDEMPOTENCY_KEY
+                                || possibleExecutions.getOrDefault(attempt.callId(), 0) == 0
+                                || now - possiblyExecutedSince.get(attempt.callId()) < deduplicationWindow,
+                        "possibly executed again after the deduplication window: " + attempt);
+                lastSentAt.put(attempt.callId(), now);
+                outstanding.put(attempt.callId(), attempt);
+                attempts.add(attempt);
+            } else if (action instanceof CompleteCall completion) {
+                assertEquals(null, completions.put(completion.callId(), completion), "call completed twice");
+                outstanding.remove(completion.callId());
+                boolean notExecuted = possibleExecutions.getOrDefault(completion.callId(), 0) == 0;
+                switch (completion.result()) {
+                    case REJECTED, THROTTLED, UNREACHABLE, DEADLINE_EXCEEDED ->
+                        assertTrue(
+                                notExecuted || idempotencyByCall.get(completion.callId()) == Idempotency.IDEMPOTENT,
+                                "reported as not executed, but possibly executed: " + completion);
+                    case FAILED -> assertEquals(Idempotency.IDEMPOTENT, idempotencyByCall.get(completion.callId()));
+                    case OUTCOME_UNKNOWN ->
+                        assertTrue(idempotencyByCall.get(completion.callId()) != Idempotency.IDEMPOTENT);
+                    case SUCCEEDED, CANCELLED -> {}
+                }
+            } else if (action instanceof CancelAttempt cancelled) {
+                recordPossibleExecution(cancelled.callId());
+                outstanding.remove(cancelled.callId());
+            } else if (action instanceof ScheduleTimer timer) {
+                timerAt = Math.min(timerAt, timer.at());
+            }
+        }
+    }
+
+    /** Passes a node's statement about the request class of all calls to the state machine. */
+    void stateScope(String node, StatedDeduplicationScope scope) {
+        if (stateMachine.nodes().contains(node)) {
+            statedScopes.put(node, scope);
+        }
+        handle(new DeduplicationScopeStated(node, REQUEST_CLASS, scope));
+    }
+
+    /** Replaces the list of nodes. */
+    void changeNodes(List<String> nodes) {
+        handle(new NodesChanged(nodes));
+        statedScopes.keySet().retainAll(stateMachine.nodes());
+    }
+
+    private void recordPossibleExecution(long callId) {
+        possibleExecutions.merge(callId, 1, Integer::sum);
+        possiblyExecutedSince.putIfAbsent(callId, lastSentAt.get(callId));
+    }
+
+    private boolean allServersDeduplicate() {
+        return statedScopes.isEmpty()
+                ? declaredGloballyDeduplicated
+                : statedScopes.values().stream().allMatch(scope -> scope == StatedDeduplicationScope.ALL_SERVERS);
+    }
+
+    void startCall(long callId, Idempotency idempotency, long timeout) {
+        idempotencyByCall.put(callId, idempotency);
+        deadlineByCall.put(callId, now + timeout);
+        handle(new CallStarted(callId, REQUEST_CLASS, idempotency, now + timeout));
+    }
+
+    void endAttempt(long callId, AttemptOutcome outcome, long retryAfter) {
+        SendAttempt attempt = outstanding.remove(callId);
+        if (!outcome.notExecuted && outcome != AttemptOutcome.OK) {
+            recordPossibleExecution(callId);
+        }
+        handle(new AttemptEnded(callId, attempt.attempt(), outcome, retryAfter));
+    }
+
+    /** Advances the clock to this time and fires every timer on the way. */
+    void advanceTo(long time) {
+        while (timerAt <= time) {
+            now = Math.max(now, timerAt);
+            timerAt = Long.MAX_VALUE;
+            handle(new TimerFired());
+        }
+        now = time;
+    }
+
+    /** Drops the records of ended calls, because those of thousands of clients would not fit into memory. */
+    void clearHistory() {
+        idempotencyByCall.clear();
+        deadlineByCall.clear();
+        possibleExecutions.clear();
+        possiblyExecutedSince.clear();
+        lastSentAt.clear();
+        completions.clear();
+        attempts.clear();
+    }
+
+    CallResult result(long callId) {
+        return completions.containsKey(callId) ? completions.get(callId).result() : null;
+    }
+}
--- a/node/src/main/java/weldhitch/node/ClientResponseWriter.java
+++ b/node/src/main/java/weldhitch/node/ClientResponseWriter.java
@@ -104,6 +104,7 @@
         response.headers()
                 .set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
         addRouteVersion(response, inFlight);
+        addDeduplicationScope(response, inFlight);
         HttpUtil.setKeepAlive(response, updateKeepAlive());
         trackWrite(channel.writeAndFlush(response));
     }
@@ -114,6 +115,13 @@
         }
     }
 
+    private static void addDeduplicationScope(HttpResponse response, InFlightRequest inFlight) {
+        if (inFlight != null && Headers.wantsDeduplicationScope(inFlight.request)) {
+            response.headers()
+                    .set(Headers.DEDUPLICATION_SCOPE, Headers.deduplicationScope(inFlight.request.requestClass()));
+        }
+    }
+
     private boolean updateKeepAlive() {
         keepAlive &= !closeRequired.getAsBoolean();
         return keepAlive;
@@ -138,6 +146,7 @@
             keepAlive = false;
         }
         addRouteVersion(response, inFlight);
+        addDeduplicationScope(response, inFlight);
         HttpUtil.setKeepAlive(response, updateKeepAlive());
         channel.write(response);
     }
--- a/node/src/main/java/weldhitch/node/Headers.java
+++ b/node/src/main/java/weldhitch/node/Headers.java
@@ -7,6 +7,8 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import weldhitch.decision.settings.Idempotency;
+import weldhitch.decision.settings.RequestClass;
 
 /**
  * The headers that this protocol defines, and the rules for which headers of a client are forwarded to an endpoint.
@@ -17,12 +19,15 @@
     static final String REQUEST_CLASS = "X-Qos";
     static final String EXPIRES_IN = "X-Expires-In";
     static final String ROUTE_VERSION = "X-Route-Version";
+    /** The endpoints that discard a repeat of the request, stated to a client that asks for it. */
+    static final String DEDUPLICATION_SCOPE = "X-Deduplication-Scope";
     /** Set by a server that rejected a request without executing any of it. */
     static final String NEVER_RAN = "X-Never-Ran";
 
     private static final String TENANT = "X-Customer";
     private static final String RETRY = "X-Second-Try";
     private static final String COST_HINT = "X-Size-Hint";
+    private static final String WANT_DEDUPLICATION_SCOPE = "X-Want-Deduplication-Scope";
     private static final double MICROS_PER_SECOND = 1e6;
     private static final double MAX_HINTED_COST_SECONDS = 1e6;
     private static final Set<String> NOT_FORWARDED = Set.of(
@@ -38,7 +43,8 @@
             "expect",
             "host",
             "content-length",
-            "x-expires-in");
+            "x-expires-in",
+            "x-want-deduplication-scope");
 
     private Headers() {}
 
@@ -52,6 +58,29 @@
         return "1".equals(request.headers().get(RETRY));
     }
 
+    /** Returns whether the client asks which endpoints discard a repeat of this request. */
+    static boolean wantsDeduplicationScope(ClientRequest request) {
+        return "1".equals(request.headers().get(WANT_DEDUPLICATION_SCOPE));
+    }
+
+    /**
+     * Returns the endpoints at which a repeat of a request of this class has no further effect: {@code all},
+     * {@code zone} or {@code cell} for those in the same one, or {@code none}.
+     */
+    static String deduplicationScope(RequestClass requestClass) {
+        if (requestClass.idempotency() == Idempotency.IDEMPOTENT) {
+            return "all";
+        }
+        if (requestClass.idempotency() == Idempotency.NON_IDEMPOTENT) {
+            return "none";
+        }
+        return switch (requestClass.deduplicationScope()) {
+            case ALL -> "all";
+            case ZONE -> "zone";
+            case CELL -> "cell";
+        };
+    }
+
     /** Returns the client's cost hint in seconds, converted from microseconds; 0 if it is missing or invalid. */
     static double hintedCost(ClientRequest request) {
         String hint = request.headers().get(COST_HINT);
--- /dev/null
+++ b/node/src/test/java/weldhitch/node/DeduplicationScopeOnSocketsTest.java
@@ -0,0 +1,81 @@
+package weldhitch.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static weldhitch.node.NodeHarness.get;
+import static weldhitch.node.NodeHarness.ok;
+import static weldhitch.node.NodeHarness.post;
+
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import weldhitch.testkit.RawHttpMessage;
+import weldhitch.testkit.ScriptedServer;
+
+/** Tests what a node states about the servers that discard a repeat of a request, and to whom. */
+class DeduplicationScopeOnSocketsTest {
+    private static final String SCOPE = "x-deduplication-scope";
+    private static final String WANT_SCOPE = "X-Want-Deduplication-Scope";
+
+    /** Starts a node at which class {@code book} has this effect and group. */
+    private static NodeHarness start(ScriptedServer server, String effect, String group) throws Exception {
+        String hosts = NodeHarness.host("s", server.address());
+        String config = new String(NodeHarness.config("127.0.0.1:9", hosts, 1024, ""), StandardCharsets.UTF_8)
+                .replace(
+                        "\"name\":\"book\",\"effect\":\"non_idempotent\"",
+                        "\"name\":\"book\",\"effect\":\"" + effect + "\",\"group\":\"" + group
+                                + "\",\"memorySpanS\":5.0");
+        return NodeHarness.start(config.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static String asking(String request) {
+        return request.replace("Host:", WANT_SCOPE + ": 1\r\nHost:");
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "idempotency_key, all, all",
+        "idempotency_key, zone, zone",
+        "idempotency_key, cell, cell",
+        "non_idempotent, all, none",
+        "read_like, zone, all"
+    })
+    void statesTheScopeOfTheClassOfTheRequest(String effect, String group, String stated) throws Exception {
+        try (ScriptedServer server = ScriptedServer.respondingWith(m -> ok("x"));
+                NodeHarness harness = start(server, effect, group)) {
+            RawHttpMessage served = harness.send(asking(post("1", "b")));
+            assertEquals(200, served.status());
+            assertEquals(stated, served.header(SCOPE));
+            RawHttpMessage rejected = harness.send(asking(post("2", "b").replace("8.000", "0")));
+            assertEquals(503, rejected.status());
+            assertEquals(stated, rejected.header(SCOPE), "scope in a rejection");
+        }
+    }
+
+    /** A client that does not ask gets the response that it always got, and servers see nothing of the question. */
+    @Test
+    void statesTheScopeOnlyToAClientThatAsksForIt() throws Exception {
+        try (ScriptedServer server = ScriptedServer.respondingWith(m -> ok("x"));
+                NodeHarness harness = start(server, "idempotency_key", "zone")) {
+            assertNull(harness.send(post("1", "b")).header(SCOPE));
+            assertNull(harness.send(get("2")).header(SCOPE));
+            assertNull(harness.send(post("3", "b").replace("Host:", WANT_SCOPE + ": 0\r\nHost:"))
+                    .header(SCOPE));
+            assertEquals("zone", harness.send(asking(post("4", "b"))).header(SCOPE));
+            for (int i = 0; i < 4; i++) {
+                assertNull(server.nextRequest().header(WANT_SCOPE));
+            }
+        }
+    }
+
+    @Test
+    void statesTheScopeOfAStreamedResponse() throws Exception {
+        try (ScriptedServer server = ScriptedServer.respondingWith(m -> ok("streamed"));
+                NodeHarness harness = start(server, "idempotency_key", "zone")) {
+            RawHttpMessage streamed = harness.send(asking(NodeHarness.feed("1")));
+            assertEquals("streamed", streamed.bodyText());
+            assertEquals("all", streamed.header(SCOPE));
+        }
+    }
+}
