Tests of the node: a client limit and a shutdown that don't depend on timing

Cause: clientsBeyondTheLimitAreAllAnswered let the server answer once all requests were written; where the node read some of them only after it had answered others, it never had more clients than the limit and the test missed its rejection. endsAfterAllDeadlinesThoughAClientStaysConnected took the end of a connection that the node may close between two requests for a response. Two tests beside it have the same loop.

Change: the server answers only once the limit has rejected a client, told by the close that goes with it, so that a rejection by the balancer is none; all clients are read at the same time. In the three tests of the shutdown a request is in flight while connections begin to be closed, so that the node has to announce the close; another client shows when that is. Every check stands, with its bound; the served requests of the shutdown are checked to the end of their connection.

--- a/node/src/test/java/weldhitch/node/ClientConnectionTest.java
+++ b/node/src/test/java/weldhitch/node/ClientConnectionTest.java
@@ -6,7 +6,12 @@
 import static weldhitch.node.NodeHarness.ok;
 import static weldhitch.node.NodeHarness.post;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import org.junit.jupiter.api.Test;
 import weldhitch.testkit.RawHttpMessage;
 import weldhitch.testkit.ScriptedServer;
@@ -186,29 +191,40 @@
      */
     @Test
     void clientsBeyondTheLimitAreAllAnswered() throws Exception {
-        CountDownLatch answer = new CountDownLatch(1);
+        // The server answers only once the limit has rejected a client. Otherwise the node might answer some requests
+        // before
+        // it reads the others, and never have more clients than the limit.
+        CountDownLatch rejected = new CountDownLatch(1);
         ScriptedServer server = new ScriptedServer(connection -> {
             while (connection.readHead() != null) {
-                answer.await();
+                rejected.await();
                 connection.write(ok("x"));
             }
         });
+        int clientCount = 60;
+        ExecutorService clients = Executors.newFixedThreadPool(clientCount);
         try (NodeHarness harness = NodeHarness.start(100, server)) {
-            TestConnection[] clients = new TestConnection[60];
-            for (int i = 0; i < clients.length; i++) {
-                clients[i] = harness.client();
-                clients[i].write(get("c" + i));
+            List<Future<Integer>> statuses = new ArrayList<>();
+            for (int i = 0; i < clientCount; i++) {
+                TestConnection client = harness.client();
+                client.write(get("c" + i));
+                statuses.add(clients.submit(() -> {
+                    RawHttpMessage response = client.readMessage();
+                    client.close();
+                    // The balancer rejects without a close, so only the limit on clients counts.
+                    if (response.status() == 503 && "close".equals(response.header("connection"))) {
+                        rejected.countDown();
+                    }
+                    return response.status();
+                }));
             }
-            int rejected = 0;
-            answer.countDown();
-            for (TestConnection client : clients) {
-                int status = client.readMessage().status();
-                assertTrue(status == 200 || status == 503, "status " + status);
-                rejected += status == 503 ? 1 : 0;
-                client.close();
+            for (Future<Integer> status : statuses) {
+                assertTrue(status.get() == 200 || status.get() == 503, "status " + status.get());
             }
-            assertTrue(rejected > 0, "no client was rejected");
+            assertEquals(0, rejected.getCount(), "no client was rejected");
             assertEquals(200, status(harness, get("after")));
+        } finally {
+            clients.shutdownNow();
         }
     }
 
--- a/node/src/test/java/weldhitch/node/NodeShutdownTest.java
+++ b/node/src/test/java/weldhitch/node/NodeShutdownTest.java
@@ -1,15 +1,23 @@
 package weldhitch.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static weldhitch.node.NodeHarness.get;
 import static weldhitch.node.NodeHarness.ok;
 import static weldhitch.node.NodeHarness.post;
 
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import weldhitch.testkit.RawHttpMessage;
 import weldhitch.testkit.ScriptedServer;
@@ -18,6 +26,85 @@
 
 /** Tests graceful shutdown: all received requests, late ones too, are answered, and then the node ends. */
 class NodeShutdownTest {
+    private static final String HELD_ID = "held";
+
+    /** Writes the response to a request. */
+    private interface Responder {
+        void respond(TestConnection connection, RawHttpMessage request) throws Exception;
+    }
+
+    /**
+     * A server that answers at once, but holds its response to the request with {@link #HELD_ID}. While that request is
+     * in flight, its connection is not idle, so that the node announces the close in the response instead of closing
+     * the connection between two requests, where the close may cross the next one.
+     */
+    private static final class HoldingServer implements Closeable {
+        private final CountDownLatch released = new CountDownLatch(1);
+        private final CountDownLatch heldReceived = new CountDownLatch(1);
+        final Set<String> receivedIds = ConcurrentHashMap.newKeySet();
+        final ScriptedServer server;
+
+        HoldingServer() throws IOException {
+            this((connection, request) -> connection.write(ok("x")));
+        }
+
+        HoldingServer(Responder responder) throws IOException {
+            server = new ScriptedServer(connection -> {
+                for (RawHttpMessage m = connection.readMessage(); m != null; m = connection.readMessage()) {
+                    String id = m.header("x-trace-id");
+                    receivedIds.add(id);
+                    if (id.equals(HELD_ID)) {
+                        heldReceived.countDown();
+                        released.await();
+                    }
+                    responder.respond(connection, m);
+                }
+            });
+        }
+
+        /** Sends the request whose response is held, and waits for its arrival. */
+        void sendHeldRequest(TestConnection connection) throws Exception {
+            connection.write(post(HELD_ID, "b"));
+            assertTrue(heldReceived.await(TestSupport.TIMEOUT_SECONDS, TimeUnit.SECONDS), "request did not arrive");
+        }
+
+        void release() {
+            released.countDown();
+        }
+
+        @Override
+        public void close() throws IOException {
+            release();
+            server.close();
+        }
+    }
+
+    /**
+     * Sends requests until the node announces the close of the connection, or closes it between two requests; then
+     * closes it. All responses must be served.
+     *
+     * @return the number of responses
+     */
+    private static int serveUntilConnectionClose(TestConnection connection) throws IOException {
+        int responses = 0;
+        try (connection) {
+            boolean open = true;
+            while (open) {
+                connection.write(get("until-close" + responses));
+                RawHttpMessage response = connection.readMessage();
+                if (response == null) {
+                    return responses;
+                }
+                assertEquals(200, response.status());
+                responses++;
+                open = !"close".equals(response.header("connection"));
+            }
+        } catch (SocketException e) {
+            // The close of the node has crossed the request.
+        }
+        return responses;
+    }
+
     @Test
     void acceptedRequestsAreAnsweredAndEveryConnectionCloses() throws Exception {
         CountDownLatch answer = new CountDownLatch(1);
@@ -60,9 +147,10 @@
      */
     @Test
     void servesExistingConnectionsAndRejectsLateRequests() throws Exception {
-        ScriptedServer server = ScriptedServer.respondingWith(m -> ok("x"));
-        try (NodeHarness harness = NodeHarness.start(server);
+        HoldingServer holding = new HoldingServer();
+        try (NodeHarness harness = NodeHarness.start(holding.server);
                 TestConnection existing = harness.client();
+                TestConnection other = harness.client();
                 TestConnection late = harness.client()) {
             existing.write(get("1"));
             assertEquals(200, existing.readMessage().status());
@@ -83,14 +171,20 @@
             assertEquals(503, m.status());
             assertEquals("close", m.header("connection"));
             String rejectedId = "whole" + (lateRequests - 1);
-            assertTrue(server.requests.stream().noneMatch(r -> rejectedId.equals(r.header("x-trace-id"))));
-            int served = 0;
-            do {
-                existing.write(get("kept" + served++));
-                m = existing.readMessage();
-                assertEquals(200, m.status());
-            } while (!"close".equals(m.header("connection")));
-            assertTrue(served > 1, "the existing connection was closed at the start of the shutdown");
+            assertFalse(holding.receivedIds.contains(rejectedId));
+            existing.write(get("kept"));
+            m = existing.readMessage();
+            assertEquals(200, m.status());
+            assertNotEquals(
+                    "close", m.header("connection"), "the existing connection was closed at the start of the shutdown");
+            holding.sendHeldRequest(existing);
+            assertTrue(
+                    serveUntilConnectionClose(other) > 1,
+                    "an existing connection was closed at the start of the shutdown");
+            holding.release();
+            m = existing.readMessage();
+            assertEquals(200, m.status());
+            assertEquals("close", m.header("connection"));
             assertTrue(existing.isClosedByPeer());
             drain.join(TestSupport.TIMEOUT_SECONDS * 1000L);
             assertTrue(!drain.isAlive(), "the shutdown did not complete");
@@ -155,26 +249,25 @@
      */
     @Test
     void endsAfterAllDeadlinesThoughAClientStaysConnected() throws Exception {
-        ScriptedServer server = ScriptedServer.respondingWith(m -> ok("x"));
-        ScriptedServer discovery = NodeHarness.discovery(NodeHarness.host("s", server.address()));
-        byte[] config = shortDeadlines(discovery, server);
-        try (server;
+        HoldingServer holding = new HoldingServer();
+        ScriptedServer discovery = NodeHarness.discovery(NodeHarness.host("s", holding.server.address()));
+        byte[] config = shortDeadlines(discovery, holding.server);
+        try (holding;
                 discovery;
                 NodeHarness harness = NodeHarness.start(config);
                 TestConnection lingeringClient = harness.client()) {
             lingeringClient.write(get("first"));
             assertEquals(200, lingeringClient.readMessage().status());
+            holding.sendHeldRequest(lingeringClient);
             Thread drain = TestSupport.startDaemon(harness.node::drain);
-            long lastWriteAt;
-            int requestCount = 0;
-            do {
-                lingeringClient.write(get("n" + requestCount++));
-                lastWriteAt = System.nanoTime();
-            } while (!"close".equals(lingeringClient.readMessage().header("connection")));
+            serveUntilConnectionClose(harness.client());
+            long releasedAt = System.nanoTime();
+            holding.release();
+            assertEquals("close", lingeringClient.readMessage().header("connection"));
             drain.join(TestSupport.TIMEOUT_SECONDS * 1000L);
             assertTrue(!drain.isAlive(), "the shutdown did not complete");
             // The node should end after 0.7 s; the timeout for a client that does not close would delay that to 2 s.
-            assertTrue(System.nanoTime() - lastWriteAt < 1_900_000_000L, "delayed by a client that does not close");
+            assertTrue(System.nanoTime() - releasedAt < 1_900_000_000L, "delayed by a client that does not close");
         }
     }
 
@@ -193,32 +286,30 @@
     @Test
     void startedStreamOutlastsEveryDeadline() throws Exception {
         CountDownLatch last = new CountDownLatch(1);
-        ScriptedServer server = new ScriptedServer(connection -> {
-            for (String head = connection.readHead(); head != null; head = connection.readHead()) {
-                if (head.startsWith("GET /feed")) {
-                    connection.write("HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + "a".repeat(70_000));
-                    last.await();
-                    connection.write("b".repeat(30_000));
-                } else {
-                    connection.write(ok("x"));
-                }
+        HoldingServer holding = new HoldingServer((connection, request) -> {
+            if (request.firstLine().startsWith("GET /feed")) {
+                connection.write("HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + "a".repeat(70_000));
+                last.await();
+                connection.write("b".repeat(30_000));
+            } else {
+                connection.write(ok("x"));
             }
         });
-        ScriptedServer discovery = NodeHarness.discovery(NodeHarness.host("s", server.address()));
-        try (server;
+        ScriptedServer discovery = NodeHarness.discovery(NodeHarness.host("s", holding.server.address()));
+        try (holding;
                 discovery;
-                NodeHarness harness = NodeHarness.start(shortDeadlines(discovery, server));
+                NodeHarness harness = NodeHarness.start(shortDeadlines(discovery, holding.server));
                 TestConnection lingeringClient = harness.client();
                 TestConnection stream = harness.client()) {
             stream.write(NodeHarness.feed("feed"));
             assertEquals(
                     "HTTP/1.1 200 OK", stream.readHead().lines().findFirst().orElseThrow());
             assertEquals("a".repeat(70_000), new String(stream.readBytes(70_000), StandardCharsets.UTF_8));
+            holding.sendHeldRequest(lingeringClient);
             Thread drain = TestSupport.startDaemon(harness.node::drain);
-            int requestCount = 0;
-            do {
-                lingeringClient.write(get("n" + requestCount++));
-            } while (!"close".equals(lingeringClient.readMessage().header("connection")));
+            serveUntilConnectionClose(harness.client());
+            holding.release();
+            assertEquals("close", lingeringClient.readMessage().header("connection"));
             // The lingering connection is closed after every deadline has passed; writes fail only then.
             assertThrows(java.io.IOException.class, () -> {
                 while (true) {
