Client library: events, actions and retry rules in files of their own

Change: its events and actions are ClientEvent and ClientAction; whether a call may be sent again, and after which backoff, is RetryRules. The random draws keep their order. No behaviour changes.

--- a/client/src/main/java/weldhitch/client/WeldhitchClient.java
+++ b/client/src/main/java/weldhitch/client/WeldhitchClient.java
@@ -27,8 +27,8 @@
 import org.slf4j.LoggerFactory;
 import weldhitch.client.policy.AttemptOutcome;
 import weldhitch.client.policy.CallStateMachine;
-import weldhitch.client.policy.CallStateMachine.Action;
-import weldhitch.client.policy.CallStateMachine.Event;
+import weldhitch.client.policy.ClientAction;
+import weldhitch.client.policy.ClientEvent;
 import weldhitch.client.policy.ClientPolicy;
 import weldhitch.client.policy.Idempotency;
 
@@ -53,7 +53,7 @@
     private final CallStateMachine stateMachine;
     private final long defaultTimeoutNanos;
     private final Map<Long, PendingCall> pendingCalls = new LinkedHashMap<>();
-    private final ArrayDeque<Event> eventQueue = new ArrayDeque<>();
+    private final ArrayDeque<ClientEvent> eventQueue = new ArrayDeque<>();
     private Future<?> timer;
     private boolean delivering;
     private boolean closed;
@@ -81,7 +81,7 @@
                 eventLoop,
                 (int) builder.connectTimeout.toMillis(),
                 builder.maxConcurrentConnects,
-                node -> submit(new CallStateMachine.ConnectionLost(node)));
+                node -> submit(new ClientEvent.ConnectionLost(node)));
         stateMachine = new CallStateMachine(builder.policy, builder.nodes, builder.seed);
     }
 
@@ -133,7 +133,7 @@
     public void updateNodes(List<String> addresses) {
         List<String> newAddresses = List.copyOf(addresses);
         newAddresses.forEach(Builder::requireValidAddress);
-        eventLoop.execute(() -> submit(new CallStateMachine.NodesChanged(newAddresses)));
+        eventLoop.execute(() -> submit(new ClientEvent.NodesChanged(newAddresses)));
     }
 
     private void startCall(Request request, long deadline, CompletableFuture<Response> response) {
@@ -146,27 +146,27 @@
         response.whenComplete((result, failure) -> {
             if (response.isCancelled()) {
                 try {
-                    eventLoop.execute(() -> submit(new CallStateMachine.CallCancelled(callId)));
+                    eventLoop.execute(() -> submit(new ClientEvent.CallCancelled(callId)));
                 } catch (RejectedExecutionException loopClosed) {
                     // close() has cancelled the call already.
                 }
             }
         });
-        submit(new CallStateMachine.CallStarted(callId, request.requestClass(), request.idempotency(), deadline));
+        submit(new ClientEvent.CallStarted(callId, request.requestClass(), request.idempotency(), deadline));
     }
 
     /**
      * Passes an event to the state machine and executes the resulting actions; an event submitted meanwhile is queued.
      * Called only on the event loop.
      */
-    private void submit(Event event) {
+    private void submit(ClientEvent event) {
         eventQueue.add(event);
         if (delivering) {
             return;
         }
         delivering = true;
         try {
-            for (Event nextEvent = eventQueue.poll(); nextEvent != null; nextEvent = eventQueue.poll()) {
+            for (ClientEvent nextEvent = eventQueue.poll(); nextEvent != null; nextEvent = eventQueue.poll()) {
                 stateMachine.handle(System.nanoTime(), nextEvent).forEach(this::execute);
             }
         } finally {
@@ -174,33 +174,33 @@
         }
     }
 
-    private void execute(Action action) {
-        if (action instanceof CallStateMachine.SendAttempt attempt) {
+    private void execute(ClientAction action) {
+        if (action instanceof ClientAction.SendAttempt attempt) {
             PendingCall call = pendingCalls.get(attempt.callId());
             long deadline = System.nanoTime() + attempt.remainingTime();
             call.attemptHandle = connectionPool.send(
                     attempt.node(),
                     () -> toHttpRequest(call.request, attempt, deadline),
                     result -> onAttemptEnded(call, attempt, result));
-        } else if (action instanceof CallStateMachine.CancelAttempt) {
+        } else if (action instanceof ClientAction.CancelAttempt) {
             pendingCalls
-                    .get(((CallStateMachine.CancelAttempt) action).callId())
+                    .get(((ClientAction.CancelAttempt) action).callId())
                     .attemptHandle
                     .abandon();
-        } else if (action instanceof CallStateMachine.CompleteCall completion) {
+        } else if (action instanceof ClientAction.CompleteCall completion) {
             complete(pendingCalls.remove(completion.callId()), completion);
-        } else if (action instanceof CallStateMachine.ScheduleTimer schedule) {
+        } else if (action instanceof ClientAction.ScheduleTimer schedule) {
             if (timer != null) {
                 timer.cancel(false);
             }
             timer = eventLoop.schedule(
-                    () -> submit(new CallStateMachine.TimerFired()),
+                    () -> submit(new ClientEvent.TimerFired()),
                     Math.max(0, schedule.at() - System.nanoTime()),
                     TimeUnit.NANOSECONDS);
         }
     }
 
-    private void onAttemptEnded(PendingCall call, CallStateMachine.SendAttempt attempt, AttemptResult result) {
+    private void onAttemptEnded(PendingCall call, ClientAction.SendAttempt attempt, AttemptResult result) {
         call.responseBody = result.body();
         String requestClass = call.request.requestClass();
         if (result.outcome() != AttemptOutcome.OK) {
@@ -212,14 +212,13 @@
                     result.outcome());
         }
         if (result.deduplicationScope() != null) {
-            submit(new CallStateMachine.DeduplicationScopeStated(
-                    attempt.node(), requestClass, result.deduplicationScope()));
+            submit(new ClientEvent.DeduplicationScopeStated(attempt.node(), requestClass, result.deduplicationScope()));
         }
-        submit(new CallStateMachine.AttemptEnded(
+        submit(new ClientEvent.AttemptEnded(
                 attempt.callId(), attempt.attempt(), result.outcome(), result.retryAfterNanos()));
     }
 
-    private static void complete(PendingCall call, CallStateMachine.CompleteCall completion) {
+    private static void complete(PendingCall call, ClientAction.CompleteCall completion) {
         switch (completion.result()) {
             case SUCCEEDED -> call.response.complete(new Response(call.responseBody, completion.attempts()));
             case CANCELLED -> call.response.cancel(false);
@@ -236,7 +235,7 @@
      * Creates the request immediately before it is written, so that the remaining time that it states does not include
      * the time spent connecting.
      */
-    private static FullHttpRequest toHttpRequest(Request request, CallStateMachine.SendAttempt attempt, long deadline) {
+    private static FullHttpRequest toHttpRequest(Request request, ClientAction.SendAttempt attempt, long deadline) {
         long remainingTime = deadline - System.nanoTime();
         byte[] body = request.body();
         FullHttpRequest httpRequest = new DefaultFullHttpRequest(
@@ -277,7 +276,7 @@
                     .submit(() -> {
                         closed = true;
                         for (Long callId : List.copyOf(pendingCalls.keySet())) {
-                            submit(new CallStateMachine.CallCancelled(callId));
+                            submit(new ClientEvent.CallCancelled(callId));
                         }
                         connectionPool.close();
                         if (timer != null) {
--- a/client/src/main/java/weldhitch/client/policy/CallStateMachine.java
+++ b/client/src/main/java/weldhitch/client/policy/CallStateMachine.java
@@ -6,6 +6,16 @@
 import java.util.Map;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.core.source64.SplitMix64;
+import weldhitch.client.policy.ClientAction.CancelAttempt;
+import weldhitch.client.policy.ClientAction.CompleteCall;
+import weldhitch.client.policy.ClientAction.ScheduleTimer;
+import weldhitch.client.policy.ClientAction.SendAttempt;
+import weldhitch.client.policy.ClientEvent.AttemptEnded;
+import weldhitch.client.policy.ClientEvent.CallCancelled;
+import weldhitch.client.policy.ClientEvent.CallStarted;
+import weldhitch.client.policy.ClientEvent.ConnectionLost;
+import weldhitch.client.policy.ClientEvent.DeduplicationScopeStated;
+import weldhitch.client.policy.ClientEvent.NodesChanged;
 
 /**
  * Makes all decisions of a client: which node an attempt goes to and when, whether a call is retried, and how the
@@ -21,74 +31,6 @@
  * seed.
  */
 public final class CallStateMachine {
-    /** An input of the state machine. */
-    public sealed interface Event
-            permits CallStarted,
-                    AttemptEnded,
-                    CallCancelled,
-                    TimerFired,
-                    ConnectionLost,
-                    NodesChanged,
-                    DeduplicationScopeStated {}
-
-    /**
-     * Starts a call.
-     *
-     * @param deadline the time of the deadline in nanoseconds, not a duration
-     */
-    public record CallStarted(long callId, String requestClass, Idempotency idempotency, long deadline)
-            implements Event {}
-
-    /**
-     * Reports that an attempt has ended; not sent for a cancelled attempt.
-     *
-     * @param retryAfter the wait that a rejection requests, in nanoseconds; 0 for none
-     */
-    public record AttemptEnded(long callId, int attempt, AttemptOutcome outcome, long retryAfter) implements Event {}
-
-    /** Reports that the caller has cancelled its call. */
-    public record CallCancelled(long callId) implements Event {}
-
-    /** Reports that the time requested by {@link ScheduleTimer} has been reached. */
-    public record TimerFired() implements Event {}
-
-    /** Reports that the last connection to a node was closed unannounced, with no attempt on it. */
-    public record ConnectionLost(String node) implements Event {}
-
-    /** Replaces the list of nodes. */
-    public record NodesChanged(List<String> addresses) implements Event {}
-
-    /** Reports which servers discard repeats of a request class, as a node has stated. */
-    public record DeduplicationScopeStated(String node, String requestClass, StatedDeduplicationScope scope)
-            implements Event {}
-
-    /** An output of the state machine; actions are executed in the order returned. */
-    public sealed interface Action permits SendAttempt, CancelAttempt, CompleteCall, ScheduleTimer {}
-
-    /**
-     * Sends an attempt to a node.
-     *
-     * @param attempt the number of the attempt within its call, counted from 0
-     * @param remainingTime nanoseconds until the deadline of the call
-     */
-    public record SendAttempt(long callId, int attempt, String node, long remainingTime) implements Action {}
-
-    /** Abandons an attempt whose outcome is no longer needed. */
-    public record CancelAttempt(long callId, int attempt) implements Action {}
-
-    /**
-     * Completes a call; returned once for each call.
-     *
-     * @param attempts the number of attempts sent
-     * @param retryAfter nanoseconds after which a new call may succeed; 0 for no advice
-     */
-    public record CompleteCall(long callId, CallResult result, int attempts, long retryAfter) implements Action {}
-
-    /**
-     * Requests a {@link TimerFired} at this time in nanoseconds; replaces the timer scheduled before, which was later.
-     */
-    public record ScheduleTimer(long at) implements Action {}
-
     /** Upper bound on Retry-After, one hour in nanoseconds; longer values are reduced to it. */
     private static final long MAX_RETRY_AFTER = 3600 * ClientPolicy.SECOND;
 
@@ -103,12 +45,13 @@
     private final ReconnectJitter reconnectJitter;
     private final RetryBudget retryBudget;
     private final DeduplicationScopes deduplicationScopes;
+    private final RetryRules retryRules;
     private final Map<String, NodeState> nodes = new LinkedHashMap<>();
     private final Map<Long, OutgoingCall> calls = new LinkedHashMap<>();
     private final Map<String, LatencyEstimate> latencyByClass = new LinkedHashMap<>();
     private long timerAt = Long.MAX_VALUE;
     private long now;
-    private List<Action> actions;
+    private List<ClientAction> actions;
 
     /**
      * Creates a state machine without calls.
@@ -122,6 +65,7 @@
         reconnectJitter = new ReconnectJitter(policy.minReconnectWindow(), policy.maxReconnectWindow());
         retryBudget = new RetryBudget(policy.retryRatio(), policy.minRetriesPerSecond());
         deduplicationScopes = new DeduplicationScopes(policy.globallyDeduplicatedClasses());
+        retryRules = new RetryRules(policy, deduplicationScopes, random);
         updateNodes(addresses);
     }
 
@@ -130,7 +74,7 @@
      *
      * @param eventTime the time of the event in nanoseconds; a time before the last event counts as that event's time
      */
-    public List<Action> handle(long eventTime, Event event) {
+    public List<ClientAction> handle(long eventTime, ClientEvent event) {
         now = Math.max(now == 0 ? eventTime : now, eventTime);
         actions = new ArrayList<>(2);
         if (event instanceof CallStarted e) {
@@ -245,7 +189,7 @@
 
     /** Sends the call to a node, lets it wait if that can help, or ends it. */
     private void sendAttempt(OutgoingCall call) {
-        if (!mayBeSent(call, now)) {
+        if (!retryRules.mayBeSent(call, now)) {
             endUnanswered(call, 0);
             return;
         }
@@ -261,7 +205,7 @@
                     .orElse(Long.MAX_VALUE);
             if (earliestAvailable < Long.MAX_VALUE
                     && earliestAvailable > now
-                    && !(canFinishInTime(call, earliestAvailable) && mayBeSent(call, earliestAvailable))) {
+                    && !(canFinishInTime(call, earliestAvailable) && retryRules.mayBeSent(call, earliestAvailable))) {
                 failWithoutAttempt(call, earliestAvailable - now);
                 return;
             }
@@ -395,7 +339,7 @@
     }
 
     private void retryOrEnd(OutgoingCall call, long retryAfter) {
-        if (!mayBeSent(call, now) || call.attempts >= policy.maxAttempts()) {
+        if (!retryRules.mayBeSent(call, now) || call.attempts >= policy.maxAttempts()) {
             endUnanswered(call, retryAfter);
             return;
         }
@@ -409,40 +353,20 @@
             return;
         }
         call.unbudgetedRetryUsed |= unbudgeted;
-        call.backoff = unbudgeted
-                ? 0
-                : (long) Math.min(
-                        policy.maxBackoff(),
-                        policy.initialBackoff()
-                                + random.nextDouble()
-                                        * (Math.max(policy.initialBackoff(), 3 * call.backoff)
-                                                - policy.initialBackoff()));
+        call.backoff = unbudgeted ? 0 : retryRules.nextBackoff(call.backoff);
         // The retry waits for Retry-After plus the backoff, so that clients do not return at the same time.
         long retryAt = now + Math.min(MAX_RETRY_AFTER, Math.max(0, retryAfter)) + call.backoff;
         if (nodes.size() > 1 && retryAfter > 0) {
             // The retry goes to another node, which has not sent Retry-After.
             retryAt = now + call.backoff;
         }
-        if (!canFinishInTime(call, retryAt) || !mayBeSent(call, retryAt)) {
+        if (!canFinishInTime(call, retryAt) || !retryRules.mayBeSent(call, retryAt)) {
             endUnanswered(call, retryAfter);
             return;
         }
         call.resumeAt = retryAt;
     }
 
-    /**
-     * Returns whether an attempt at this time is harmless even if an earlier attempt was executed. Checked when a retry
-     * is planned and again when it is sent, because the deduplication window may end, and a node may state another
-     * scope, while the call waits.
-     */
-    private boolean mayBeSent(OutgoingCall call, long time) {
-        return !call.possiblyExecuted
-                || call.idempotency == Idempotency.IDEMPOTENT
-                || call.idempotency == Idempotency.IDEMPOTENCY_KEY
-                        && deduplicationScopes.coversAllServers(call.requestClass)
-                        && time - call.possiblyExecutedSince < policy.deduplicationWindow();
-    }
-
     private void endUnanswered(OutgoingCall call, long retryAfter) {
         CallResult result = call.possiblyExecuted
                 ? unansweredResult(call)
--- /dev/null
+++ b/client/src/main/java/weldhitch/client/policy/ClientAction.java
@@ -0,0 +1,28 @@
+package weldhitch.client.policy;
+
+/** An output of {@link CallStateMachine}; actions are executed in the order returned. Times are nanoseconds. */
+public sealed interface ClientAction {
+    /**
+     * Sends an attempt to a node.
+     *
+     * @param attempt the number of the attempt within its call, counted from 0
+     * @param remainingTime nanoseconds until the deadline of the call
+     */
+    record SendAttempt(long callId, int attempt, String node, long remainingTime) implements ClientAction {}
+
+    /** Abandons an attempt whose outcome is no longer needed. */
+    record CancelAttempt(long callId, int attempt) implements ClientAction {}
+
+    /**
+     * Completes a call; returned once for each call.
+     *
+     * @param attempts the number of attempts sent
+     * @param retryAfter nanoseconds after which a new call may succeed; 0 for no advice
+     */
+    record CompleteCall(long callId, CallResult result, int attempts, long retryAfter) implements ClientAction {}
+
+    /**
+     * Requests a {@link ClientEvent.TimerFired} at this time; replaces the timer scheduled before, which was later.
+     */
+    record ScheduleTimer(long at) implements ClientAction {}
+}
--- /dev/null
+++ b/client/src/main/java/weldhitch/client/policy/RetryRules.java
@@ -0,0 +1,47 @@
+package weldhitch.client.policy;
+
+import org.apache.commons.rng.UniformRandomProvider;
+
+/**
+ * Decides whether a call may be sent again without being executed twice, and how long it waits before. Belongs to
+ * {@link CallStateMachine}, single-threaded.
+ */
+final class RetryRules {
+    /** The factor by which a backoff may exceed the one before (decorrelated jitter). */
+    private static final int MAX_BACKOFF_GROWTH = 3;
+
+    private final ClientPolicy policy;
+    private final DeduplicationScopes deduplicationScopes;
+    private final UniformRandomProvider random;
+
+    RetryRules(ClientPolicy policy, DeduplicationScopes deduplicationScopes, UniformRandomProvider random) {
+        this.policy = policy;
+        this.deduplicationScopes = deduplicationScopes;
+        this.random = random;
+    }
+
+    /**
+     * Returns whether an attempt at this time is harmless even if an earlier attempt was executed. Checked when a retry
+     * is planned and again when it is sent, because the deduplication window may end, and a node may state another
+     * scope, while the call waits.
+     */
+    boolean mayBeSent(OutgoingCall call, long time) {
+        if (!call.possiblyExecuted) {
+            return true;
+        }
+        return switch (call.idempotency) {
+            case IDEMPOTENT -> true;
+            case NON_IDEMPOTENT -> false;
+            case IDEMPOTENCY_KEY ->
+                deduplicationScopes.coversAllServers(call.requestClass)
+                        && time - call.possiblyExecutedSince < policy.deduplicationWindow();
+        };
+    }
+
+    /** Draws the backoff in nanoseconds after this one; 0 for the first. */
+    long nextBackoff(long previousBackoff) {
+        long shortest = policy.initialBackoff();
+        long longest = Math.max(shortest, MAX_BACKOFF_GROWTH * previousBackoff);
+        return (long) Math.min(policy.maxBackoff(), shortest + random.nextDouble() * (longest - shortest));
+    }
+}
--- a/client/src/test/java/weldhitch/client/policy/CallStateMachineTest.java
+++ b/client/src/test/java/weldhitch/client/policy/CallStateMachineTest.java
@@ -17,9 +17,9 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.core.source64.SplitMix64;
 import org.junit.jupiter.api.Test;
-import weldhitch.client.policy.CallStateMachine.CallCancelled;
-import weldhitch.client.policy.CallStateMachine.ConnectionLost;
-import weldhitch.client.policy.CallStateMachine.SendAttempt;
+import weldhitch.client.policy.ClientAction.SendAttempt;
+import weldhitch.client.policy.ClientEvent.CallCancelled;
+import weldhitch.client.policy.ClientEvent.ConnectionLost;
 
 /**
  * Tests the client state machine with a manual clock: exhaustively for up to three attempts, and with random events.
--- a/client/src/test/java/weldhitch/client/policy/ClientHarness.java
+++ b/client/src/test/java/weldhitch/client/policy/ClientHarness.java
@@ -8,17 +8,15 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import weldhitch.client.policy.CallStateMachine.Action;
-import weldhitch.client.policy.CallStateMachine.AttemptEnded;
-import weldhitch.client.policy.CallStateMachine.CallStarted;
-import weldhitch.client.policy.CallStateMachine.CancelAttempt;
-import weldhitch.client.policy.CallStateMachine.CompleteCall;
-import weldhitch.client.policy.CallStateMachine.DeduplicationScopeStated;
-import weldhitch.client.policy.CallStateMachine.Event;
-import weldhitch.client.policy.CallStateMachine.NodesChanged;
-import weldhitch.client.policy.CallStateMachine.ScheduleTimer;
-import weldhitch.client.policy.CallStateMachine.SendAttempt;
-import weldhitch.client.policy.CallStateMachine.TimerFired;
+import weldhitch.client.policy.ClientAction.CancelAttempt;
+import weldhitch.client.policy.ClientAction.CompleteCall;
+import weldhitch.client.policy.ClientAction.ScheduleTimer;
+import weldhitch.client.policy.ClientAction.SendAttempt;
+import weldhitch.client.policy.ClientEvent.AttemptEnded;
+import weldhitch.client.policy.ClientEvent.CallStarted;
+import weldhitch.client.policy.ClientEvent.DeduplicationScopeStated;
+import weldhitch.client.policy.ClientEvent.NodesChanged;
+import weldhitch.client.policy.ClientEvent.TimerFired;
 
 /**
  * Drives a {@link CallStateMachine} with a manual clock, and asserts the invariants of every run. All calls are of one
@@ -51,8 +49,8 @@
         declaredGloballyDeduplicated = policy.globallyDeduplicatedClasses().contains(REQUEST_CLASS);
     }
 
-    void handle(Event event) {
-        for (Action action : stateMachine.handle(now, event)) {
+    void handle(ClientEvent event) {
+        for (ClientAction action : stateMachine.handle(now, event)) {
             if (action instanceof SendAttempt attempt) {
                 assertFalse(completions.containsKey(attempt.callId()), "attempt after completion: " + attempt);
                 assertFalse(outstanding.containsKey(attempt.callId()), "two concurrent attempts: " + attempt);
