Client library: tests of a declared class, and what nodes of earlier releases mean

Need: ClientPolicy.withGloballyDeduplicatedClasses was tested in the state machine alone, and the pages did not tell in which order to upgrade.

Result: WeldhitchClientTest passes.

--- a/client/src/test/java/weldhitch/client/WeldhitchClientTest.java
+++ b/client/src/test/java/weldhitch/client/WeldhitchClientTest.java
@@ -205,6 +205,26 @@
     @ParameterizedTest
     @CsvSource({"all, 2", " all , 2", "zone, 1", "cell, 1", "none, 1", "ALL, 1", "region, 1", "'', 1"})
     void keyedCallIsRepeatedByTheScopeThatTheNodeStates(String scope, int expectedAttempts) throws Exception {
+        assertAttemptsOfLostKeyedCall(POLICY, scope, expectedAttempts);
+    }
+
+    /** A declared class counts while no node states its scope, as nodes of earlier releases do not. */
+    @ParameterizedTest
+    @CsvSource({", 2", "all, 2", "zone, 1"})
+    void keyedCallOfADeclaredClassIsRepeatedUnlessTheNodeStatesOtherwise(String scope, int expectedAttempts)
+            throws Exception {
+        assertAttemptsOfLostKeyedCall(POLICY.withGloballyDeduplicatedClasses("book-visit"), scope, expectedAttempts);
+        assertAttemptsOfLostKeyedCall(
+                POLICY.withGloballyDeduplicatedClasses("another"), scope, "all".equals(scope) ? 2 : 1);
+    }
+
+    /**
+     * Makes one call that is served, and one whose first attempt is executed and gets no response.
+     *
+     * @param scope the deduplication scope that the node states if it is asked; null for a node that states none
+     */
+    private static void assertAttemptsOfLostKeyedCall(ClientPolicy policy, String scope, int expectedAttempts)
+            throws Exception {
         AtomicInteger requestCount = new AtomicInteger();
         ScriptedServer node = new ScriptedServer(connection -> {
             for (RawHttpMessage m = connection.readMessage(); m != null; m = connection.readMessage()) {
@@ -212,14 +232,18 @@
                     connection.reset();
                     return;
                 }
-                String statement = "1".equals(m.header("x-want-deduplication-scope"))
-                        ? "\r\nX-Deduplication-Scope: " + scope + "\r\n"
-                        : "\r\n";
-                connection.write(ok("booked").replaceFirst("\r\n", statement));
+                boolean stated = scope != null && "1".equals(m.header("x-want-deduplication-scope"));
+                String statement = stated ? "X-Deduplication-Scope: " + scope + "\r\n" : "";
+                connection.write(ok("booked").replaceFirst("\r\n", "\r\n" + statement));
             }
         });
         try (node;
-                WeldhitchClient client = client(node.address())) {
+                WeldhitchClient client = WeldhitchClient.builder()
+                        .nodes(node.address())
+                        .policy(policy)
+                        .defaultTimeout(Duration.ofSeconds(TestSupport.TIMEOUT_SECONDS))
+                        .seed(1)
+                        .build()) {
             client.send(Request.withIdempotencyKey("book-visit", "k-1", BODY));
             Request lost = Request.withIdempotencyKey("book-visit", "k-2", BODY);
             if (expectedAttempts > 1) {
