Client library: the nodes of a client and how outcomes change them in a file of their own

Need: CallStateMachine had 400 lines, among them the choice of a node and what each outcome says about it, which a question to a node needs as well.

Change: NodePool holds the nodes of the subset, picks one, and records outcomes, failures and lost connections. The random draws keep their order. No behaviour changes.

--- a/client/src/main/java/weldhitch/client/policy/CallStateMachine.java
+++ b/client/src/main/java/weldhitch/client/policy/CallStateMachine.java
@@ -31,22 +31,17 @@
  * seed.
  */
 public final class CallStateMachine {
-    /** Upper bound on Retry-After, one hour in nanoseconds; longer values are reduced to it. */
-    private static final long MAX_RETRY_AFTER = 3600 * ClientPolicy.SECOND;
-
     /**
      * Time in nanoseconds after which an unanswered probe counts as a failure, while no latency of its class is known.
      */
     private static final long DEFAULT_RESPONSE_TIMEOUT = ClientPolicy.SECOND;
 
     private final ClientPolicy policy;
-    private final long clientId;
     private final UniformRandomProvider random;
-    private final ReconnectJitter reconnectJitter;
     private final RetryBudget retryBudget;
     private final DeduplicationScopes deduplicationScopes;
     private final RetryRules retryRules;
-    private final Map<String, NodeState> nodes = new LinkedHashMap<>();
+    private final NodePool nodes;
     private final Map<Long, OutgoingCall> calls = new LinkedHashMap<>();
     private final Map<String, LatencyEstimate> latencyByClass = new LinkedHashMap<>();
     private long timerAt = Long.MAX_VALUE;
@@ -60,9 +55,8 @@
      */
     public CallStateMachine(ClientPolicy policy, List<String> addresses, long seed) {
         this.policy = policy;
-        clientId = seed;
         random = new SplitMix64(seed);
-        reconnectJitter = new ReconnectJitter(policy.minReconnectWindow(), policy.maxReconnectWindow());
+        nodes = new NodePool(policy, seed, random);
         retryBudget = new RetryBudget(policy.retryRatio(), policy.minRetriesPerSecond());
         deduplicationScopes = new DeduplicationScopes(policy.globallyDeduplicatedClasses());
         retryRules = new RetryRules(policy, deduplicationScopes, random);
@@ -87,10 +81,7 @@
                 complete(call, CallResult.CANCELLED, 0);
             }
         } else if (event instanceof ConnectionLost e) {
-            NodeState node = nodes.get(e.node());
-            if (node != null && node.availability == NodeState.Availability.UP && node.inFlight == 0) {
-                eject(node);
-            }
+            nodes.onConnectionLost(e.node(), now);
         } else if (event instanceof NodesChanged e) {
             updateNodes(e.addresses());
         } else if (event instanceof DeduplicationScopeStated e) {
@@ -103,15 +94,13 @@
     }
 
     private void updateNodes(List<String> addresses) {
-        List<String> subset = NodeSubset.select(addresses, policy.subsetSize(), clientId);
-        nodes.keySet().retainAll(subset);
-        deduplicationScopes.retainNodes(subset);
-        subset.forEach(address -> nodes.computeIfAbsent(address, NodeState::new));
+        nodes.update(addresses);
+        deduplicationScopes.retainNodes(nodes.addresses());
     }
 
     /** Ignores a statement of a node that this client no longer uses, because nothing would ever replace it. */
     private void recordDeduplicationScope(DeduplicationScopeStated stated) {
-        if (nodes.containsKey(stated.node())) {
+        if (nodes.contains(stated.node())) {
             deduplicationScopes.record(stated.node(), stated.requestClass(), stated.scope());
         }
     }
@@ -162,7 +151,7 @@
             LatencyEstimate latency = latencyByClass.get(call.requestClass);
             if (call.currentNode.availability != NodeState.Availability.PROBING
                     || now - call.sentAt >= (latency == null ? DEFAULT_RESPONSE_TIMEOUT : latency.responseTimeout())) {
-                recordFailure(call.currentNode);
+                nodes.recordFailure(call.currentNode, now);
             }
             markPossiblyExecuted(call);
         }
@@ -197,12 +186,9 @@
             complete(call, call.possiblyExecuted ? unansweredResult(call) : CallResult.UNREACHABLE, 0);
             return;
         }
-        NodeState node = pickNode(call);
+        NodeState node = nodes.pick(candidate -> true, call.previousNode, now);
         if (node == null) {
-            long earliestAvailable = nodes.values().stream()
-                    .mapToLong(NodeState::availableAt)
-                    .min()
-                    .orElse(Long.MAX_VALUE);
+            long earliestAvailable = nodes.earliestAvailable(candidate -> true);
             if (earliestAvailable < Long.MAX_VALUE
                     && earliestAvailable > now
                     && !(canFinishInTime(call, earliestAvailable) && retryRules.mayBeSent(call, earliestAvailable))) {
@@ -245,37 +231,14 @@
                 ? unansweredResult(call)
                 : call.lastOutcome == AttemptOutcome.REJECTED
                         ? CallResult.REJECTED
-                        : nodes.values().stream().allMatch(n -> n.availability != NodeState.Availability.UP)
+                        : nodes.noneIsUp()
                                 ? CallResult.UNREACHABLE
-                                : call.lastOutcome == null
-                                                && nodes.values().stream().anyMatch(n -> n.retryAfterUntil > now)
+                                : call.lastOutcome == null && nodes.anyWaitsForRetryAfter(now)
                                         ? CallResult.REJECTED
                                         : CallResult.DEADLINE_EXCEEDED;
         complete(call, result, retryAfter);
     }
 
-    /**
-     * Picks the less loaded of two random available nodes (power of two choices), excluding the node of the
-     * last attempt if there are others; null if none is available.
-     */
-    private NodeState pickNode(OutgoingCall call) {
-        List<NodeState> candidates = new ArrayList<>(nodes.size());
-        for (NodeState node : nodes.values()) {
-            if (node.availableAt() <= now && node.hasCapacity()) {
-                candidates.add(node);
-            }
-        }
-        if (candidates.isEmpty()) {
-            return null;
-        }
-        if (candidates.size() > 1) {
-            candidates.remove(call.previousNode);
-        }
-        NodeState first = candidates.get(random.nextInt(candidates.size()));
-        NodeState second = candidates.get(random.nextInt(candidates.size()));
-        return second.inFlight < first.inFlight ? second : first;
-    }
-
     private void onAttemptEnded(AttemptEnded ended) {
         OutgoingCall call = calls.get(ended.callId());
         if (call == null || call.currentNode == null || ended.attempt() != call.attempts - 1) {
@@ -284,38 +247,15 @@
         NodeState node = call.currentNode;
         call.currentNode = null;
         call.previousNode = node;
-        node.inFlight--;
         call.lastOutcome = ended.outcome();
-        switch (ended.outcome()) {
-            case OK -> {
-                node.onResponse();
-                node.widenWindow();
-                recordAccept(node, call);
-                latencyByClass
-                        .computeIfAbsent(call.requestClass, c -> new LatencyEstimate())
-                        .record(now - call.sentAt);
-                complete(call, CallResult.SUCCEEDED, 0);
-                return;
-            }
-            case REJECTED -> {
-                node.onResponse();
-                node.throttles.get(call.requestClass).recordRejection(now);
-                if (ended.retryAfter() > 0) {
-                    node.honorRetryAfter(now + Math.min(MAX_RETRY_AFTER, ended.retryAfter()));
-                }
-            }
-            case ERROR_RESPONSE -> {
-                node.onResponse();
-                recordAccept(node, call);
-            }
-            case STALE_CONNECTION -> {
-                // A healthy node may close an idle connection, so this does not count as a failure unless the
-                // attempt was the probe.
-                if (node.availability == NodeState.Availability.PROBING) {
-                    recordFailure(node);
-                }
-            }
-            case NOT_SENT, TRANSPORT_ERROR -> recordFailure(node);
+        nodes.recordOutcome(node, ended.outcome(), ended.retryAfter(), now);
+        recordInThrottle(node.throttles.get(call.requestClass), ended.outcome());
+        if (ended.outcome() == AttemptOutcome.OK) {
+            latencyByClass
+                    .computeIfAbsent(call.requestClass, c -> new LatencyEstimate())
+                    .record(now - call.sentAt);
+            complete(call, CallResult.SUCCEEDED, 0);
+            return;
         }
         if (!ended.outcome().notExecuted) {
             markPossiblyExecuted(call);
@@ -323,21 +263,16 @@
         retryOrEnd(call, ended.retryAfter());
     }
 
-    private void recordAccept(NodeState node, OutgoingCall call) {
-        node.throttles.get(call.requestClass).recordAccept(now);
-    }
-
-    private void recordFailure(NodeState node) {
-        if (node.recordFailure(policy.ejectionThreshold())) {
-            eject(node);
+    private void recordInThrottle(AdaptiveThrottle throttle, AttemptOutcome outcome) {
+        switch (outcome) {
+            case OK, ERROR_RESPONSE -> throttle.recordAccept(now);
+            case REJECTED -> throttle.recordRejection(now);
+            case STALE_CONNECTION, NOT_SENT, TRANSPORT_ERROR -> {
+                // Not a response of the node.
+            }
         }
     }
 
-    private void eject(NodeState node) {
-        long outage = node.availability == NodeState.Availability.UP ? 0 : now - node.ejectedSince;
-        node.eject(now, now + reconnectJitter.nextDelay(outage, random));
-    }
-
     private void retryOrEnd(OutgoingCall call, long retryAfter) {
         if (!retryRules.mayBeSent(call, now) || call.attempts >= policy.maxAttempts()) {
             endUnanswered(call, retryAfter);
@@ -355,7 +290,7 @@
         call.unbudgetedRetryUsed |= unbudgeted;
         call.backoff = unbudgeted ? 0 : retryRules.nextBackoff(call.backoff);
         // The retry waits for Retry-After plus the backoff, so that clients do not return at the same time.
-        long retryAt = now + Math.min(MAX_RETRY_AFTER, Math.max(0, retryAfter)) + call.backoff;
+        long retryAt = now + NodePool.boundedRetryAfter(retryAfter) + call.backoff;
         if (nodes.size() > 1 && retryAfter > 0) {
             // The retry goes to another node, which has not sent Retry-After.
             retryAt = now + call.backoff;
@@ -371,7 +306,7 @@
         CallResult result = call.possiblyExecuted
                 ? unansweredResult(call)
                 : call.lastOutcome == AttemptOutcome.REJECTED ? CallResult.REJECTED : CallResult.UNREACHABLE;
-        complete(call, result, result == CallResult.REJECTED ? Math.min(MAX_RETRY_AFTER, Math.max(0, retryAfter)) : 0);
+        complete(call, result, result == CallResult.REJECTED ? NodePool.boundedRetryAfter(retryAfter) : 0);
     }
 
     private void complete(OutgoingCall call, CallResult result, long retryAfter) {
@@ -395,6 +330,6 @@
 
     /** Returns the nodes of this client's subset, highest-ranked first unless the list of nodes has changed. */
     public List<String> nodes() {
-        return List.copyOf(nodes.keySet());
+        return nodes.addresses();
     }
 }
