--- a/cli/src/test/java/weldhitch/cli/KeyedCallsIT.java
+++ b/cli/src/test/java/weldhitch/cli/KeyedCallsIT.java
@@ -123,12 +123,21 @@
             for (int i = 0; i < WARM_UP_CALLS; i++) {
                 call("warm-up-" + i).join();
             }
+            return killNodeDuringFurtherCalls(WARM_UP_CALLS);
+        }
+
+        /** The same with a client that has called no node before. */
+        Ends killNodeDuringFirstCalls() throws Exception {
+            return killNodeDuringFurtherCalls(0);
+        }
+
+        private Ends killNodeDuringFurtherCalls(int earlierCalls) throws Exception {
             servers.holdResponses();
             Map<String, CompletableFuture<Response>> calls = new LinkedHashMap<>();
             for (int i = 0; i < CALLS; i++) {
                 calls.put("visit-" + i, call("visit-" + i));
             }
-            TestSupport.await(() -> servers.executedKeyCount() == WARM_UP_CALLS + CALLS);
+            TestSupport.await(() -> servers.executedKeyCount() == earlierCalls + CALLS);
             nodes.get(0).signal("KILL");
             servers.releaseResponses();
             return endsOf(calls.values());
@@ -188,28 +197,55 @@
     @ParameterizedTest
     @ValueSource(strings = {"idempotency_key", "non_idempotent"})
     void callsAreNotRepeatedToServersThatDoNotDiscardRepeats(String effect) throws Exception {
-        boolean deduplicates = effect.equals("idempotency_key");
-        try (Fleet fleet = new Fleet(effect, "zone", zone -> deduplicates ? zone : null)) {
-            Ends ends = fleet.killNodeDuringCalls();
-            assertEquals(List.of(), fleet.keysExecutedTwice(), fleet.eventLog.tail(20));
-            assertEquals(List.of(), ends.others());
-            assertEquals(CALLS, ends.served() + ends.outcomeUnknown());
-            assertEquals(0, ends.repeatedAndServed());
-            assertTrue(ends.outcomeUnknown() > 0, "no call was under way through the node that was killed");
+        try (Fleet fleet = fleetWithLimitedScope(effect)) {
+            assertNoCallWasRepeated(fleet, fleet.killNodeDuringCalls());
         }
     }
 
+    /** The same for a client that no node has told anything: not knowing the scope is no permission. */
+    @ParameterizedTest
+    @ValueSource(strings = {"idempotency_key", "non_idempotent"})
+    void firstCallsOfAClientAreNotRepeatedToServersThatDoNotDiscardRepeats(String effect) throws Exception {
+        try (Fleet fleet = fleetWithLimitedScope(effect)) {
+            assertNoCallWasRepeated(fleet, fleet.killNodeDuringFirstCalls());
+        }
+    }
+
+    private static Fleet fleetWithLimitedScope(String effect) throws Exception {
+        boolean deduplicates = effect.equals("idempotency_key");
+        return new Fleet(effect, "zone", zone -> deduplicates ? zone : null);
+    }
+
+    private static void assertNoCallWasRepeated(Fleet fleet, Ends ends) {
+        assertEquals(List.of(), fleet.keysExecutedTwice(), fleet.eventLog.tail(20));
+        assertEquals(List.of(), ends.others());
+        assertEquals(CALLS, ends.served() + ends.outcomeUnknown());
+        assertEquals(0, ends.repeatedAndServed());
+        assertTrue(ends.outcomeUnknown() > 0, "no call was under way through the node that was killed");
+    }
+
     /** Clients are promised that such calls are repeated after a failure (WIRE, 3). */
     @Test
     void callsAreRepeatedWhereAllServersDiscardRepeats() throws Exception {
         try (Fleet fleet = new Fleet("idempotency_key", "all", zone -> "all")) {
-            Ends ends = fleet.killNodeDuringCalls();
-            assertEquals(List.of(), fleet.keysExecutedTwice(), fleet.eventLog.tail(20));
-            assertEquals(List.of(), ends.others());
-            assertEquals(CALLS, ends.served());
-            assertTrue(ends.repeatedAndServed() > 0, "no call was under way through the node that was killed");
-            // More than the client's repeats, because a node may retry such a call too.
-            assertTrue(fleet.servers.discardedRepeatCount() >= ends.repeatedAndServed(), "repeats that did not arrive");
+            assertCallsWereRepeated(fleet, fleet.killNodeDuringCalls());
         }
     }
+
+    /** Regression: the first calls of a client were not repeated, as no node had stated the scope of their class. */
+    @Test
+    void firstCallsOfAClientAreRepeatedWhereAllServersDiscardRepeats() throws Exception {
+        try (Fleet fleet = new Fleet("idempotency_key", "all", zone -> "all")) {
+            assertCallsWereRepeated(fleet, fleet.killNodeDuringFirstCalls());
+        }
+    }
+
+    private static void assertCallsWereRepeated(Fleet fleet, Ends ends) {
+        assertEquals(List.of(), fleet.keysExecutedTwice(), fleet.eventLog.tail(20));
+        assertEquals(List.of(), ends.others());
+        assertEquals(CALLS, ends.served());
+        assertTrue(ends.repeatedAndServed() > 0, "no call was under way through the node that was killed");
+        // More than the client's repeats, because a node may retry such a call too.
+        assertTrue(fleet.servers.discardedRepeatCount() >= ends.repeatedAndServed(), "repeats that did not arrive");
+    }
 }
--- a/client/src/main/java/weldhitch/client/AttemptResult.java
+++ b/client/src/main/java/weldhitch/client/AttemptResult.java
@@ -36,6 +36,14 @@
                 body);
     }
 
+    /** Returns whether the node sent a complete response. */
+    boolean hasResponse() {
+        return switch (outcome) {
+            case OK, REJECTED, ERROR_RESPONSE -> true;
+            case NOT_SENT, STALE_CONNECTION, TRANSPORT_ERROR -> false;
+        };
+    }
+
     private static AttemptOutcome outcomeOf(HttpResponseStatus status) {
         if (status.equals(HttpResponseStatus.OK)) {
             return AttemptOutcome.OK;
--- a/client/src/main/java/weldhitch/client/DeduplicationScopeHeader.java
+++ b/client/src/main/java/weldhitch/client/DeduplicationScopeHeader.java
@@ -7,10 +7,10 @@
  * Stateless.
  */
 final class DeduplicationScopeHeader {
-    /** Set to {@link #WANTED} by a client that asks. */
+    /** Set to {@link #REQUEST_VALUE} by a client that asks. */
     static final String REQUEST_NAME = "X-Want-Deduplication-Scope";
 
-    static final String WANTED = "1";
+    static final String REQUEST_VALUE = "1";
     static final String RESPONSE_NAME = "X-Deduplication-Scope";
 
     private static final String ALL = "all";
--- a/client/src/main/java/weldhitch/client/WeldhitchClient.java
+++ b/client/src/main/java/weldhitch/client/WeldhitchClient.java
@@ -1,14 +1,9 @@
 package weldhitch.client;
 
-import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 import java.security.SecureRandom;
 import java.time.Duration;
@@ -16,7 +11,6 @@
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
@@ -30,7 +24,7 @@
 import weldhitch.client.policy.ClientAction;
 import weldhitch.client.policy.ClientEvent;
 import weldhitch.client.policy.ClientPolicy;
-import weldhitch.client.policy.Idempotency;
+import weldhitch.client.policy.StatedDeduplicationScope;
 
 /**
  * Sends requests to load-balancing nodes: enforces deadlines, retries only requests that may be executed again,
@@ -180,13 +174,15 @@
             long deadline = System.nanoTime() + attempt.remainingTime();
             call.attemptHandle = connectionPool.send(
                     attempt.node(),
-                    () -> toHttpRequest(call.request, attempt, deadline),
+                    () -> RequestEncoder.attempt(call.request, attempt, deadline - System.nanoTime()),
                     result -> onAttemptEnded(call, attempt, result));
         } else if (action instanceof ClientAction.CancelAttempt) {
             pendingCalls
                     .get(((ClientAction.CancelAttempt) action).callId())
                     .attemptHandle
                     .abandon();
+        } else if (action instanceof ClientAction.QueryScope query) {
+            new ScopeQuery(query, connectionPool, eventLoop, result -> onScopeQueryEnded(query, result)).start();
         } else if (action instanceof ClientAction.CompleteCall completion) {
             complete(pendingCalls.remove(completion.callId()), completion);
         } else if (action instanceof ClientAction.ScheduleTimer schedule) {
@@ -211,13 +207,34 @@
                     attempt.node(),
                     result.outcome());
         }
-        if (result.deduplicationScope() != null) {
-            submit(new ClientEvent.DeduplicationScopeStated(attempt.node(), requestClass, result.deduplicationScope()));
+        if (call.request.idempotencyKey() != null) {
+            // Only a complete response shows that a node states no scope: it may reject a request before it reads all
+            // of
+            // its headers.
+            reportScope(attempt.node(), requestClass, result, result.outcome() == AttemptOutcome.OK);
         }
         submit(new ClientEvent.AttemptEnded(
                 attempt.callId(), attempt.attempt(), result.outcome(), result.retryAfterNanos()));
     }
 
+    private void onScopeQueryEnded(ClientAction.QueryScope query, AttemptResult result) {
+        reportScope(query.node(), query.requestClass(), result, result.hasResponse());
+        submit(new ClientEvent.ScopeQueryEnded(query.requestClass(), result.outcome(), result.retryAfterNanos()));
+    }
+
+    /**
+     * Reports the scope that a response to a request that asked for it states.
+     *
+     * @param absenceCounts whether a response without a statement shows that the node states none
+     */
+    private void reportScope(String node, String requestClass, AttemptResult result, boolean absenceCounts) {
+        if (result.deduplicationScope() != null) {
+            submit(new ClientEvent.DeduplicationScopeStated(node, requestClass, result.deduplicationScope()));
+        } else if (absenceCounts) {
+            submit(new ClientEvent.DeduplicationScopeStated(node, requestClass, StatedDeduplicationScope.NOT_STATED));
+        }
+    }
+
     private static void complete(PendingCall call, ClientAction.CompleteCall completion) {
         switch (completion.result()) {
             case SUCCEEDED -> call.response.complete(new Response(call.responseBody, completion.attempts()));
@@ -231,40 +248,6 @@
         }
     }
 
-    /**
-     * Creates the request immediately before it is written, so that the remaining time that it states does not include
-     * the time spent connecting.
-     */
-    private static FullHttpRequest toHttpRequest(Request request, ClientAction.SendAttempt attempt, long deadline) {
-        long remainingTime = deadline - System.nanoTime();
-        byte[] body = request.body();
-        FullHttpRequest httpRequest = new DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1,
-                request.idempotency() == Idempotency.IDEMPOTENT ? HttpMethod.GET : HttpMethod.POST,
-                "/" + request.requestClass() + request.path(),
-                Unpooled.wrappedBuffer(body));
-        httpRequest
-                .headers()
-                .set("Host", attempt.node())
-                .set("X-Trace-Id", String.format("%016x", RANDOM.nextLong()))
-                .set("X-Qos", request.requestClass())
-                .set("X-Expires-In", String.format(Locale.ROOT, "%.3f", Math.max(0.001, remainingTime / 1e9)));
-        if (request.tenant() != null) {
-            httpRequest.headers().set("X-Customer", request.tenant());
-        }
-        if (request.idempotencyKey() != null) {
-            httpRequest.headers().set("Idempotency-Key", request.idempotencyKey());
-            httpRequest.headers().set(DeduplicationScopeHeader.REQUEST_NAME, DeduplicationScopeHeader.WANTED);
-        }
-        if (attempt.attempt() > 0) {
-            httpRequest.headers().set("X-Second-Try", "1");
-        }
-        if (request.idempotency() != Idempotency.IDEMPOTENT) {
-            httpRequest.headers().set("Content-Length", body.length);
-        }
-        return httpRequest;
-    }
-
     /**
      * Cancels the calls in flight, closes all connections, and stops the event loop if the client owns it.
      * Blocks until that is done.
--- a/client/src/main/java/weldhitch/client/policy/CallStateMachine.java
+++ b/client/src/main/java/weldhitch/client/policy/CallStateMachine.java
@@ -4,10 +4,12 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.core.source64.SplitMix64;
 import weldhitch.client.policy.ClientAction.CancelAttempt;
 import weldhitch.client.policy.ClientAction.CompleteCall;
+import weldhitch.client.policy.ClientAction.QueryScope;
 import weldhitch.client.policy.ClientAction.ScheduleTimer;
 import weldhitch.client.policy.ClientAction.SendAttempt;
 import weldhitch.client.policy.ClientEvent.AttemptEnded;
@@ -16,6 +18,7 @@
 import weldhitch.client.policy.ClientEvent.ConnectionLost;
 import weldhitch.client.policy.ClientEvent.DeduplicationScopeStated;
 import weldhitch.client.policy.ClientEvent.NodesChanged;
+import weldhitch.client.policy.ClientEvent.ScopeQueryEnded;
 
 /**
  * Makes all decisions of a client: which node an attempt goes to and when, whether a call is retried, and how the
@@ -32,7 +35,8 @@
  */
 public final class CallStateMachine {
     /**
-     * Time in nanoseconds after which an unanswered probe counts as a failure, while no latency of its class is known.
+     * Time in nanoseconds after which an unanswered probe counts as a failure, while no latency of its class is known,
+     * and after which a query for a deduplication scope does.
      */
     private static final long DEFAULT_RESPONSE_TIMEOUT = ClientPolicy.SECOND;
 
@@ -44,6 +48,9 @@
     private final NodePool nodes;
     private final Map<Long, OutgoingCall> calls = new LinkedHashMap<>();
     private final Map<String, LatencyEstimate> latencyByClass = new LinkedHashMap<>();
+    /** The node that is being asked for the deduplication scope of a request class. */
+    private final Map<String, NodeState> queriedNodeByClass = new LinkedHashMap<>();
+
     private long timerAt = Long.MAX_VALUE;
     private long now;
     private List<ClientAction> actions;
@@ -86,6 +93,8 @@
             updateNodes(e.addresses());
         } else if (event instanceof DeduplicationScopeStated e) {
             recordDeduplicationScope(e);
+        } else if (event instanceof ScopeQueryEnded e) {
+            onScopeQueryEnded(e);
         } else {
             timerAt = Long.MAX_VALUE;
         }
@@ -95,7 +104,7 @@
 
     private void updateNodes(List<String> addresses) {
         nodes.update(addresses);
-        deduplicationScopes.retainNodes(nodes.addresses());
+        deduplicationScopes.updateNodes(nodes.addresses());
     }
 
     /** Ignores a statement of a node that this client no longer uses, because nothing would ever replace it. */
@@ -178,32 +187,47 @@
 
     /** Sends the call to a node, lets it wait if that can help, or ends it. */
     private void sendAttempt(OutgoingCall call) {
-        if (!retryRules.mayBeSent(call, now)) {
+        if (!retryRules.mayBePlanned(call, now)) {
             endUnanswered(call, 0);
             return;
         }
+        boolean scopeNeeded = !retryRules.mayBeSent(call, now);
+        if (scopeNeeded && queriedNodeByClass.containsKey(call.requestClass)) {
+            call.resumeAt = 0;
+            return;
+        }
         if (nodes.isEmpty()) {
             complete(call, call.possiblyExecuted ? unansweredResult(call) : CallResult.UNREACHABLE, 0);
             return;
         }
-        NodeState node = nodes.pick(candidate -> true, call.previousNode, now);
+        Predicate<NodeState> eligible =
+                candidate -> !scopeNeeded || deduplicationScopes.mayBeQueried(candidate.address, call.requestClass);
+        NodeState node = nodes.pick(eligible, call.previousNode, now);
         if (node == null) {
-            long earliestAvailable = nodes.earliestAvailable(candidate -> true);
-            if (earliestAvailable < Long.MAX_VALUE
-                    && earliestAvailable > now
-                    && !(canFinishInTime(call, earliestAvailable) && retryRules.mayBeSent(call, earliestAvailable))) {
-                failWithoutAttempt(call, earliestAvailable - now);
-                return;
-            }
-            // Waits until a node becomes available. A resumeAt of 0 means that this depends on a probe in flight or on
-            // a node without capacity: the call then resumes when the outcome of an attempt at such a node is known.
-            call.resumeAt = earliestAvailable < Long.MAX_VALUE && earliestAvailable > now ? earliestAvailable : 0;
-            return;
-        }
-        if (!canFinishInTime(call, now)) {
+            awaitNode(call, nodes.earliestAvailable(eligible));
+        } else if (!canFinishInTime(call, now)) {
             failWithoutAttempt(call, 0);
+        } else if (scopeNeeded) {
+            queryScope(call, node);
+        } else {
+            sendUnlessThrottled(call, node);
+        }
+    }
+
+    /** Lets the call wait until a node becomes available, or ends it if that is too late. */
+    private void awaitNode(OutgoingCall call, long earliestAvailable) {
+        boolean timeIsKnown = earliestAvailable < Long.MAX_VALUE && earliestAvailable > now;
+        if (timeIsKnown
+                && !(canFinishInTime(call, earliestAvailable) && retryRules.mayBePlanned(call, earliestAvailable))) {
+            failWithoutAttempt(call, earliestAvailable - now);
             return;
         }
+        // A resumeAt of 0 means that this depends on a probe in flight or on a node without capacity: the call then
+        // resumes when the outcome of an attempt at such a node is known.
+        call.resumeAt = timeIsKnown ? earliestAvailable : 0;
+    }
+
+    private void sendUnlessThrottled(OutgoingCall call, NodeState node) {
         AdaptiveThrottle throttle = node.throttles.computeIfAbsent(
                 call.requestClass, c -> new AdaptiveThrottle(policy.throttleMultiplier()));
         if (random.nextDouble() < throttle.rejectionProbability(now)
@@ -221,6 +245,27 @@
         actions.add(new SendAttempt(call.id, call.attempts++, node.address, call.deadline - now));
     }
 
+    /** Asks the node for the deduplication scope; the call resumes when the query has ended. */
+    private void queryScope(OutgoingCall call, NodeState node) {
+        if (call.scopeQueries >= policy.maxAttempts()) {
+            endUnanswered(call, 0);
+            return;
+        }
+        call.scopeQueries++;
+        call.resumeAt = 0;
+        queriedNodeByClass.put(call.requestClass, node);
+        node.onSent();
+        long usefulTime = Math.min(call.deadline - now, retryRules.remainingWindow(call, now));
+        actions.add(new QueryScope(node.address, call.requestClass, Math.min(DEFAULT_RESPONSE_TIMEOUT, usefulTime)));
+    }
+
+    private void onScopeQueryEnded(ScopeQueryEnded ended) {
+        NodeState node = queriedNodeByClass.remove(ended.requestClass());
+        if (node != null) {
+            nodes.recordOutcome(node, ended.outcome(), ended.retryAfter(), now);
+        }
+    }
+
     private boolean canFinishInTime(OutgoingCall call, long startTime) {
         LatencyEstimate latency = latencyByClass.get(call.requestClass);
         return startTime + (latency == null ? 0 : latency.minimum()) < call.deadline;
@@ -274,7 +319,7 @@
     }
 
     private void retryOrEnd(OutgoingCall call, long retryAfter) {
-        if (!retryRules.mayBeSent(call, now) || call.attempts >= policy.maxAttempts()) {
+        if (!retryRules.mayBePlanned(call, now) || call.attempts >= policy.maxAttempts()) {
             endUnanswered(call, retryAfter);
             return;
         }
@@ -295,7 +340,7 @@
             // The retry goes to another node, which has not sent Retry-After.
             retryAt = now + call.backoff;
         }
-        if (!canFinishInTime(call, retryAt) || !retryRules.mayBeSent(call, retryAt)) {
+        if (!canFinishInTime(call, retryAt) || !retryRules.mayBePlanned(call, retryAt)) {
             endUnanswered(call, retryAfter);
             return;
         }
--- a/client/src/main/java/weldhitch/client/policy/ClientAction.java
+++ b/client/src/main/java/weldhitch/client/policy/ClientAction.java
@@ -10,6 +10,14 @@
      */
     record SendAttempt(long callId, int attempt, String node, long remainingTime) implements ClientAction {}
 
+    /**
+     * Asks a node which servers discard repeats of a request class; at most one query of a class is in flight. It ends
+     * with one {@link ClientEvent.ScopeQueryEnded}.
+     *
+     * @param timeout nanoseconds after which the query is abandoned and counts as a transport error
+     */
+    record QueryScope(String node, String requestClass, long timeout) implements ClientAction {}
+
     /** Abandons an attempt whose outcome is no longer needed. */
     record CancelAttempt(long callId, int attempt) implements ClientAction {}
 
--- a/client/src/main/java/weldhitch/client/policy/ClientEvent.java
+++ b/client/src/main/java/weldhitch/client/policy/ClientEvent.java
@@ -31,6 +31,14 @@
     /** Replaces the list of nodes. */
     record NodesChanged(List<String> addresses) implements ClientEvent {}
 
+    /**
+     * Reports that a query for a deduplication scope has ended, after the {@link DeduplicationScopeStated} that its
+     * response led to.
+     *
+     * @param retryAfter the wait that a rejection requests, in nanoseconds; 0 for none
+     */
+    record ScopeQueryEnded(String requestClass, AttemptOutcome outcome, long retryAfter) implements ClientEvent {}
+
     /** Reports which servers discard repeats of a request class, as a node has stated. */
     record DeduplicationScopeStated(String node, String requestClass, StatedDeduplicationScope scope)
             implements ClientEvent {}
--- a/client/src/main/java/weldhitch/client/policy/DeduplicationScopes.java
+++ b/client/src/main/java/weldhitch/client/policy/DeduplicationScopes.java
@@ -1,7 +1,7 @@
 package weldhitch.client.policy;
 
-import java.util.Collection;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -13,6 +13,7 @@
 final class DeduplicationScopes {
     private final Set<String> declaredClasses;
     private final Map<String, Map<String, StatedDeduplicationScope>> scopesByClassAndNode = new LinkedHashMap<>();
+    private List<String> nodes = List.of();
 
     /**
      * Creates an instance without statements.
@@ -30,8 +31,9 @@
                 .put(node, scope);
     }
 
-    /** Forgets the statements of all other nodes. */
-    void retainNodes(Collection<String> nodes) {
+    /** Replaces the nodes in use; forgets the statements of all others. */
+    void updateNodes(List<String> addresses) {
+        nodes = addresses;
         scopesByClassAndNode.values().forEach(scopes -> scopes.keySet().retainAll(nodes));
     }
 
@@ -40,10 +42,29 @@
      * other, as during a change of their settings, the narrower scope counts.
      */
     boolean coversAllServers(String requestClass) {
-        Collection<StatedDeduplicationScope> stated =
-                scopesByClassAndNode.getOrDefault(requestClass, Map.of()).values();
-        return stated.isEmpty()
-                ? declaredClasses.contains(requestClass)
-                : stated.stream().allMatch(scope -> scope == StatedDeduplicationScope.ALL_SERVERS);
+        return isStated(requestClass)
+                ? !isStated(requestClass, StatedDeduplicationScope.LIMITED)
+                : declaredClasses.contains(requestClass);
+    }
+
+    /** Returns whether the scope of the class is unknown, and a query may change that. */
+    boolean mayBecomeKnown(String requestClass) {
+        return !isStated(requestClass)
+                && !declaredClasses.contains(requestClass)
+                && nodes.stream().anyMatch(node -> mayBeQueried(node, requestClass));
+    }
+
+    /** Returns whether the node has not shown yet whether it states the scope of the class. */
+    boolean mayBeQueried(String node, String requestClass) {
+        return !scopesByClassAndNode.getOrDefault(requestClass, Map.of()).containsKey(node);
+    }
+
+    private boolean isStated(String requestClass) {
+        return isStated(requestClass, StatedDeduplicationScope.ALL_SERVERS)
+                || isStated(requestClass, StatedDeduplicationScope.LIMITED);
+    }
+
+    private boolean isStated(String requestClass, StatedDeduplicationScope scope) {
+        return scopesByClassAndNode.getOrDefault(requestClass, Map.of()).containsValue(scope);
     }
 }
--- a/client/src/main/java/weldhitch/client/policy/OutgoingCall.java
+++ b/client/src/main/java/weldhitch/client/policy/OutgoingCall.java
@@ -7,6 +7,8 @@
     final Idempotency idempotency;
     final long deadline;
     int attempts;
+    /** Number of queries for the deduplication scope that were sent for this call. */
+    int scopeQueries;
     /** The node of the attempt in flight; null if there is none. */
     NodeState currentNode;
     /** The node of the last attempt that ended; null before the first has. */
--- a/client/src/main/java/weldhitch/client/policy/RetryRules.java
+++ b/client/src/main/java/weldhitch/client/policy/RetryRules.java
@@ -33,15 +33,30 @@
             case IDEMPOTENT -> true;
             case NON_IDEMPOTENT -> false;
             case IDEMPOTENCY_KEY ->
-                deduplicationScopes.coversAllServers(call.requestClass)
-                        && time - call.possiblyExecutedSince < policy.deduplicationWindow();
+                deduplicationScopes.coversAllServers(call.requestClass) && remainingWindow(call, time) > 0;
         };
     }
 
+    /**
+     * Returns whether an attempt at this time may be planned: it may be sent as far as is known now, or depends on a
+     * deduplication scope that a node has yet to state.
+     */
+    boolean mayBePlanned(OutgoingCall call, long time) {
+        return mayBeSent(call, time)
+                || call.idempotency == Idempotency.IDEMPOTENCY_KEY
+                        && remainingWindow(call, time) > 0
+                        && deduplicationScopes.mayBecomeKnown(call.requestClass);
+    }
+
+    /** Returns the nanoseconds for which servers still discard a repeat of a call that may have been executed. */
+    long remainingWindow(OutgoingCall call, long time) {
+        return policy.deduplicationWindow() - (time - call.possiblyExecutedSince);
+    }
+
     /** Draws the backoff in nanoseconds after this one; 0 for the first. */
     long nextBackoff(long previousBackoff) {
-        long shortest = policy.initialBackoff();
-        long longest = Math.max(shortest, MAX_BACKOFF_GROWTH * previousBackoff);
-        return (long) Math.min(policy.maxBackoff(), shortest + random.nextDouble() * (longest - shortest));
+        long lowerBound = policy.initialBackoff();
+        long upperBound = Math.max(lowerBound, MAX_BACKOFF_GROWTH * previousBackoff);
+        return (long) Math.min(policy.maxBackoff(), lowerBound + random.nextDouble() * (upperBound - lowerBound));
     }
 }
--- a/client/src/main/java/weldhitch/client/policy/StatedDeduplicationScope.java
+++ b/client/src/main/java/weldhitch/client/policy/StatedDeduplicationScope.java
@@ -5,5 +5,7 @@
     /** All servers, so that any node may forward a repeat. */
     ALL_SERVERS,
     /** Only the servers of one zone or cell, or none: another node may forward a repeat to a server outside of it. */
-    LIMITED
+    LIMITED,
+    /** The node was asked and stated nothing, as nodes of earlier releases do. */
+    NOT_STATED
 }
--- a/client/src/test/java/weldhitch/client/WeldhitchClientTest.java
+++ b/client/src/test/java/weldhitch/client/WeldhitchClientTest.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -255,6 +256,73 @@
         }
     }
 
+    /**
+     * Regression: the first keyed calls of a client were not repeated, as no node had stated a scope yet. A node is
+     * asked before the repeat; one of an earlier release answers with 405.
+     */
+    @ParameterizedTest
+    @CsvSource({"all, 2", "zone, 1", ", 1"})
+    void firstKeyedCallIsRepeatedByTheScopeThatAQueriedNodeStates(String scope, int expectedAttempts) throws Exception {
+        String answer = scope == null
+                ? "HTTP/1.1 405 Method Not Allowed\r\nContent-Length: 0\r\n\r\n"
+                : "HTTP/1.1 200 OK\r\nX-Deduplication-Scope: " + scope + "\r\nContent-Length: 0\r\n\r\n";
+        AtomicInteger queryCount = new AtomicInteger();
+        assertAttemptsOfFirstKeyedCall(expectedAttempts, query -> {
+            queryCount.incrementAndGet();
+            assertEquals("1", query.header("x-want-deduplication-scope"));
+            return answer;
+        });
+        assertEquals(1, queryCount.get());
+    }
+
+    /** A node that doesn't answer the query holds the call until the query's timeout, not until the call's. */
+    @Test
+    void firstKeyedCallEndsWhereNoNodeAnswersTheQuery() throws Exception {
+        AtomicInteger queryCount = new AtomicInteger();
+        assertAttemptsOfFirstKeyedCall(1, query -> {
+            queryCount.incrementAndGet();
+            return "";
+        });
+        assertEquals(POLICY.maxAttempts(), queryCount.get());
+    }
+
+    /**
+     * Makes a client's first call, whose first attempt is executed and gets no response.
+     *
+     * @param answerToQuery returns what the node writes in answer to a query for the scope
+     */
+    private static void assertAttemptsOfFirstKeyedCall(
+            int expectedAttempts, Function<RawHttpMessage, String> answerToQuery) throws Exception {
+        AtomicInteger callCount = new AtomicInteger();
+        ScriptedServer node = new ScriptedServer(connection -> {
+            for (RawHttpMessage m = connection.readMessage(); m != null; m = connection.readMessage()) {
+                if (m.firstLine().startsWith("OPTIONS /book-visit ")) {
+                    connection.write(answerToQuery.apply(m));
+                } else if (callCount.incrementAndGet() == 1) {
+                    connection.reset();
+                    return;
+                } else {
+                    connection.write(ok("booked"));
+                }
+            }
+        });
+        try (node;
+                WeldhitchClient client = WeldhitchClient.builder()
+                        .nodes(node.address())
+                        .policy(POLICY)
+                        .defaultTimeout(Duration.ofSeconds(TestSupport.TIMEOUT_SECONDS))
+                        .seed(1)
+                        .build()) {
+            Request lost = Request.withIdempotencyKey("book-visit", "k-1", BODY);
+            if (expectedAttempts > 1) {
+                assertEquals(expectedAttempts, client.send(lost).attempts());
+            } else {
+                assertThrows(CallException.OutcomeUnknown.class, () -> client.send(lost));
+            }
+            assertEquals(expectedAttempts, callCount.get());
+        }
+    }
+
     /** Only a request with an idempotency key asks for the scope: every other request is as it was. */
     @Test
     void onlyKeyedRequestsAskForTheDeduplicationScope() throws Exception {
--- a/client/src/test/java/weldhitch/client/policy/CallStateMachineTest.java
+++ b/client/src/test/java/weldhitch/client/policy/CallStateMachineTest.java
@@ -127,17 +127,22 @@
         String[] nodeNames =
                 IntStream.range(0, nodeCount).mapToObj(i -> "n" + i + ":1").toArray(String[]::new);
         ClientHarness harness = new ClientHarness(policy, seed, nodeNames);
+        harness.holdsQueries = true;
         UniformRandomProvider scopeRandom = new SplitMix64(~seed);
         boolean limitedScopes = scopeRandom.nextBoolean();
+        int stepsPerStatement = scopeRandom.nextBoolean() ? 10 : 200;
         long callCount = 0;
         for (int step = 0; step < 400; step++) {
             harness.advanceTo(harness.now + random.nextInt(100) * MS);
-            if (scopeRandom.nextInt(10) == 0) {
-                harness.stateScope(
-                        nodeNames[scopeRandom.nextInt(nodeCount)],
-                        limitedScopes && scopeRandom.nextInt(4) == 0
-                                ? StatedDeduplicationScope.LIMITED
-                                : StatedDeduplicationScope.ALL_SERVERS);
+            if (scopeRandom.nextInt(stepsPerStatement) == 0) {
+                harness.stateScope(nodeNames[scopeRandom.nextInt(nodeCount)], randomScope(scopeRandom, limitedScopes));
+            }
+            if (harness.query != null && scopeRandom.nextInt(3) == 0) {
+                AttemptOutcome outcome = AttemptOutcome.values()[scopeRandom.nextInt(AttemptOutcome.values().length)];
+                boolean responded = outcome != AttemptOutcome.NOT_SENT
+                        && outcome != AttemptOutcome.STALE_CONNECTION
+                        && outcome != AttemptOutcome.TRANSPORT_ERROR;
+                harness.endQuery(outcome, responded ? randomScope(scopeRandom, limitedScopes) : null);
             }
             int choice = random.nextInt(10);
             if (choice < 4 || harness.outstanding.isEmpty()) {
@@ -197,6 +202,123 @@
         }
     }
 
+    private static StatedDeduplicationScope randomScope(UniformRandomProvider random, boolean limitedScopes) {
+        return switch (random.nextInt(4)) {
+            case 0 -> limitedScopes ? StatedDeduplicationScope.LIMITED : StatedDeduplicationScope.ALL_SERVERS;
+            case 1 -> StatedDeduplicationScope.NOT_STATED;
+            default -> StatedDeduplicationScope.ALL_SERVERS;
+        };
+    }
+
+    /** Returns a harness with calls 1 and 2 in flight at the first node, which no node has stated a scope for. */
+    private static ClientHarness harnessWithUnknownScope(ClientPolicy policy) {
+        ClientHarness harness = new ClientHarness(policy, 1, "a:1", "b:1");
+        harness.holdsQueries = true;
+        harness.startCall(1, Idempotency.IDEMPOTENCY_KEY, 10 * S);
+        harness.startCall(2, Idempotency.IDEMPOTENCY_KEY, 10 * S);
+        return harness;
+    }
+
+    /**
+     * Regression: the calls of a client that were lost before any node had stated a scope were not repeated, though all
+     * servers discard repeats of their class.
+     */
+    @Test
+    void keyedCallsOfUnknownScopeAreRepeatedOnceAQueriedNodeStatesIt() {
+        for (StatedDeduplicationScope scope :
+                List.of(StatedDeduplicationScope.ALL_SERVERS, StatedDeduplicationScope.LIMITED)) {
+            ClientHarness harness = harnessWithUnknownScope(KEYED_POLICY);
+            harness.endAttempt(1, AttemptOutcome.TRANSPORT_ERROR, 0);
+            harness.endAttempt(2, AttemptOutcome.TRANSPORT_ERROR, 0);
+            harness.advanceTo(harness.now + S / 2);
+            assertEquals(1, harness.queryCount, "calls of a class share a query");
+            assertEquals(2, harness.attempts.size(), "no repeat while the scope is unknown");
+            assertFalse(harness.completions.containsKey(1L));
+            harness.endQuery(AttemptOutcome.OK, scope);
+            boolean repeated = scope == StatedDeduplicationScope.ALL_SERVERS;
+            assertEquals(repeated ? 4 : 2, harness.attempts.size(), scope.name());
+            assertEquals(repeated ? null : CallResult.OUTCOME_UNKNOWN, harness.result(1));
+            assertEquals(repeated ? null : CallResult.OUTCOME_UNKNOWN, harness.result(2));
+            assertEquals(1, harness.queryCount);
+        }
+    }
+
+    /** Each node is asked once if it responds without stating a scope, and the call ends after the last one. */
+    @Test
+    void keyedCallEndsOnceAllNodesHaveStatedNothing() {
+        ClientHarness harness = harnessWithUnknownScope(KEYED_POLICY);
+        harness.endAttempt(1, AttemptOutcome.TRANSPORT_ERROR, 0);
+        harness.advanceTo(harness.now + S / 2);
+        String firstNode = harness.query.node();
+        harness.endQuery(AttemptOutcome.ERROR_RESPONSE, StatedDeduplicationScope.NOT_STATED);
+        assertTrue(!harness.query.node().equals(firstNode), "both queries to " + firstNode);
+        harness.endQuery(AttemptOutcome.ERROR_RESPONSE, StatedDeduplicationScope.NOT_STATED);
+        assertEquals(CallResult.OUTCOME_UNKNOWN, harness.result(1));
+        harness.endAttempt(2, AttemptOutcome.TRANSPORT_ERROR, 0);
+        assertEquals(CallResult.OUTCOME_UNKNOWN, harness.result(2), "ends at once, without another query");
+        assertEquals(2, harness.queryCount);
+    }
+
+    @Test
+    void queriesWithoutResponseAreLimitedAndCountAgainstTheirNodes() {
+        ClientHarness harness = harnessWithUnknownScope(KEYED_POLICY);
+        harness.endAttempt(1, AttemptOutcome.TRANSPORT_ERROR, 0);
+        harness.advanceTo(harness.now + 9 * S);
+        assertEquals(KEYED_POLICY.maxAttempts(), harness.queryCount);
+        assertEquals(CallResult.OUTCOME_UNKNOWN, harness.result(1));
+        assertEquals(2, harness.attempts.size());
+    }
+
+    @Test
+    void keyedCallThatWaitsForAQueryEndsWithItsDeduplicationWindow() {
+        ClientPolicy policy = new ClientPolicy(3, 10 * MS, S, 1, 1000, 100, 3, S, 60 * S, 3, S / 2);
+        ClientHarness harness = harnessWithUnknownScope(policy);
+        long sentAt = harness.now;
+        harness.endAttempt(1, AttemptOutcome.TRANSPORT_ERROR, 0);
+        harness.advanceTo(sentAt + S / 2 - 1);
+        assertEquals(null, harness.result(1));
+        harness.advanceTo(sentAt + S / 2);
+        assertEquals(CallResult.OUTCOME_UNKNOWN, harness.result(1));
+        assertEquals(2, harness.attempts.size());
+    }
+
+    /** A client whose servers do not deduplicate, or whose policy declares the scope, has nothing to ask for. */
+    @Test
+    void nodesAreNotQueriedWhereTheAnswerChangesNothing() {
+        for (ClientPolicy policy : List.of(LENIENT_POLICY, KEYED_POLICY.withGloballyDeduplicatedClasses("c"))) {
+            ClientHarness harness = harnessWithUnknownScope(policy);
+            harness.endAttempt(1, AttemptOutcome.TRANSPORT_ERROR, 0);
+            harness.endAttempt(2, AttemptOutcome.NOT_SENT, 0);
+            harness.startCall(3, Idempotency.NON_IDEMPOTENT, 10 * S);
+            harness.endAttempt(3, AttemptOutcome.TRANSPORT_ERROR, 0);
+            harness.startCall(4, Idempotency.IDEMPOTENT, 10 * S);
+            harness.endAttempt(4, AttemptOutcome.TRANSPORT_ERROR, 0);
+            harness.advanceTo(harness.now + S);
+            assertEquals(0, harness.queryCount);
+        }
+    }
+
+    /** The only node of a client is ejected: the query is its probe, and the call follows on the response. */
+    @Test
+    void queryServesAsTheProbeOfAnEjectedNode() {
+        ClientHarness harness = new ClientHarness(KEYED_POLICY, 1, "a:1");
+        harness.holdsQueries = true;
+        harness.startCall(1, Idempotency.IDEMPOTENCY_KEY, 10 * S);
+        harness.startCall(2, Idempotency.IDEMPOTENT, 10 * S);
+        harness.startCall(3, Idempotency.IDEMPOTENT, 10 * S);
+        for (long callId = 1; callId <= 3; callId++) {
+            harness.endAttempt(callId, AttemptOutcome.TRANSPORT_ERROR, 0);
+        }
+        assertEquals(3, harness.attempts.size());
+        while (harness.query == null && harness.result(1) == null) {
+            harness.advanceTo(harness.now + 10 * MS);
+        }
+        assertEquals("a:1", harness.query.node());
+        assertEquals(3, harness.attempts.size(), "attempts at a node that is being probed");
+        harness.endQuery(AttemptOutcome.OK, StatedDeduplicationScope.ALL_SERVERS);
+        assertTrue(harness.outstanding.containsKey(1L));
+    }
+
     /** A node's latest statement counts, and it is forgotten with the node. */
     @Test
     void deduplicationScopeFollowsTheNodesInUse() {
--- a/client/src/test/java/weldhitch/client/policy/ClientHarness.java
+++ b/client/src/test/java/weldhitch/client/policy/ClientHarness.java
@@ -10,12 +10,14 @@
 import java.util.Map;
 import weldhitch.client.policy.ClientAction.CancelAttempt;
 import weldhitch.client.policy.ClientAction.CompleteCall;
+import weldhitch.client.policy.ClientAction.QueryScope;
 import weldhitch.client.policy.ClientAction.ScheduleTimer;
 import weldhitch.client.policy.ClientAction.SendAttempt;
 import weldhitch.client.policy.ClientEvent.AttemptEnded;
 import weldhitch.client.policy.ClientEvent.CallStarted;
 import weldhitch.client.policy.ClientEvent.DeduplicationScopeStated;
 import weldhitch.client.policy.ClientEvent.NodesChanged;
+import weldhitch.client.policy.ClientEvent.ScopeQueryEnded;
 import weldhitch.client.policy.ClientEvent.TimerFired;
 
 /**
@@ -30,6 +32,13 @@
     private final long deduplicationWindow;
     private final boolean declaredGloballyDeduplicated;
     private final Map<String, StatedDeduplicationScope> statedScopes = new LinkedHashMap<>();
+    /** Whether queries for the deduplication scope wait for {@link #endQuery}; no node knows them otherwise. */
+    boolean holdsQueries;
+    /** The query in flight; null if there is none. */
+    QueryScope query;
+
+    int queryCount;
+    private long queryTimeoutAt = Long.MAX_VALUE;
     final Map<Long, Idempotency> idempotencyByCall = new LinkedHashMap<>();
     final Map<Long, Long> deadlineByCall = new LinkedHashMap<>();
     final Map<Long, SendAttempt> outstanding = new LinkedHashMap<>();
@@ -50,7 +59,9 @@
     }
 
     void handle(ClientEvent event) {
-        for (ClientAction action : stateMachine.handle(now, event)) {
+        List<ClientAction> actions = stateMachine.handle(now, event);
+        statedScopes.keySet().retainAll(stateMachine.nodes());
+        for (ClientAction action : actions) {
             if (action instanceof SendAttempt attempt) {
                 assertFalse(completions.containsKey(attempt.callId()), "attempt after completion: " + attempt);
                 assertFalse(outstanding.containsKey(attempt.callId()), "two concurrent attempts: " + attempt);
@@ -90,10 +101,47 @@
             } else if (action instanceof CancelAttempt cancelled) {
                 recordPossibleExecution(cancelled.callId());
                 outstanding.remove(cancelled.callId());
+            } else if (action instanceof QueryScope newQuery) {
+                startQuery(newQuery);
             } else if (action instanceof ScheduleTimer timer) {
                 timerAt = Math.min(timerAt, timer.at());
             }
         }
+        if (query != null && !holdsQueries) {
+            endQuery(AttemptOutcome.ERROR_RESPONSE, StatedDeduplicationScope.NOT_STATED);
+        }
+    }
+
+    private void startQuery(QueryScope newQuery) {
+        assertEquals(null, query, "two concurrent queries");
+        assertTrue(newQuery.timeout() > 0, "query without time left");
+        assertTrue(stateMachine.nodes().contains(newQuery.node()), "query to a node that is not in use");
+        assertFalse(statedScopes.containsKey(newQuery.node()), "query to a node that has shown what it states");
+        assertTrue(
+                !declaredGloballyDeduplicated && statedScopes.values().stream().noneMatch(ClientHarness::isStated),
+                "query for a scope that is known");
+        query = newQuery;
+        queryCount++;
+        queryTimeoutAt = now + newQuery.timeout();
+    }
+
+    /**
+     * Ends the query in flight.
+     *
+     * @param scope what the node's response states; null if there is no response
+     */
+    void endQuery(AttemptOutcome outcome, StatedDeduplicationScope scope) {
+        QueryScope endedQuery = query;
+        query = null;
+        queryTimeoutAt = Long.MAX_VALUE;
+        if (scope != null) {
+            stateScope(endedQuery.node(), scope);
+        }
+        handle(new ScopeQueryEnded(endedQuery.requestClass(), outcome, 0));
+    }
+
+    private static boolean isStated(StatedDeduplicationScope scope) {
+        return scope != StatedDeduplicationScope.NOT_STATED;
     }
 
     /** Passes a node's statement about the request class of all calls to the state machine. */
@@ -107,7 +155,6 @@
     /** Replaces the list of nodes. */
     void changeNodes(List<String> nodes) {
         handle(new NodesChanged(nodes));
-        statedScopes.keySet().retainAll(stateMachine.nodes());
     }
 
     private void recordPossibleExecution(long callId) {
@@ -116,9 +163,11 @@
     }
 
     private boolean allServersDeduplicate() {
-        return statedScopes.isEmpty()
+        List<StatedDeduplicationScope> stated =
+                statedScopes.values().stream().filter(ClientHarness::isStated).toList();
+        return stated.isEmpty()
                 ? declaredGloballyDeduplicated
-                : statedScopes.values().stream().allMatch(scope -> scope == StatedDeduplicationScope.ALL_SERVERS);
+                : stated.stream().allMatch(scope -> scope == StatedDeduplicationScope.ALL_SERVERS);
     }
 
     void startCall(long callId, Idempotency idempotency, long timeout) {
@@ -135,12 +184,16 @@
         handle(new AttemptEnded(callId, attempt.attempt(), outcome, retryAfter));
     }
 
-    /** Advances the clock to this time and fires every timer on the way. */
+    /** Advances the clock to this time, and fires every timer and ends every overdue query on the way. */
     void advanceTo(long time) {
-        while (timerAt <= time) {
-            now = Math.max(now, timerAt);
-            timerAt = Long.MAX_VALUE;
-            handle(new TimerFired());
+        while (Math.min(timerAt, queryTimeoutAt) <= time) {
+            now = Math.max(now, Math.min(timerAt, queryTimeoutAt));
+            if (queryTimeoutAt <= timerAt) {
+                endQuery(AttemptOutcome.TRANSPORT_ERROR, null);
+            } else {
+                timerAt = Long.MAX_VALUE;
+                handle(new TimerFired());
+            }
         }
         now = time;
     }
--- a/node/src/main/java/weldhitch/node/ClientConnection.java
+++ b/node/src/main/java/weldhitch/node/ClientConnection.java
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -175,15 +174,16 @@
         responseWriter.keepAliveAsRequested(request);
         transitionTo(ClientConnectionState.RECEIVING);
         String path = ClientRequestParser.path(request.uri());
-        if (path.equals("/ready") && request.method().equals(HttpMethod.GET)) {
-            respond(policy.ready() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, 0);
-            return;
-        }
         ClientRequestParser.Result result = requestParser.parse(request, path);
         if (result instanceof ClientRequestParser.Rejected rejected) {
             respond(rejected.status(), 0);
         } else if (result instanceof ClientRequestParser.Accepted accepted) {
             startRequest(request, accepted);
+        } else if (result instanceof ClientRequestParser.ReadinessQuery) {
+            respond(policy.ready() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, 0);
+        } else if (result instanceof ClientRequestParser.ScopeQuery query) {
+            responseWriter.writeDeduplicationScope(query.requestClass());
+            responseWritten();
         }
     }
 
--- a/node/src/main/java/weldhitch/node/ClientRequestParser.java
+++ b/node/src/main/java/weldhitch/node/ClientRequestParser.java
@@ -17,7 +17,7 @@
  */
 final class ClientRequestParser {
     /** The outcome of parsing a request's head. */
-    sealed interface Result permits Accepted, Rejected {}
+    sealed interface Result permits Accepted, Rejected, ReadinessQuery, ScopeQuery {}
 
     /**
      * A valid head.
@@ -34,11 +34,18 @@
     /** An invalid head, with the status that answers its request. */
     record Rejected(HttpResponseStatus status) implements Result {}
 
+    /** A question whether the node is ready. */
+    record ReadinessQuery() implements Result {}
+
+    /** A question which endpoints discard a repeat of a request of this class; it is answered, never forwarded. */
+    record ScopeQuery(RequestClass requestClass) implements Result {}
+
     /** The maximum length of a request body. */
     static final long MAX_BODY_BYTES = 32L << 20;
     /** The maximum timeout of a request; a larger {@code X-Expires-In} is reduced to it. */
     static final long MAX_REQUEST_TIMEOUT_NANOS = 60_000_000_000L;
 
+    private static final String READINESS_PATH = "/ready";
     private static final long NANOS_PER_SECOND = 1_000_000_000L;
     private static final int MAX_REQUEST_ID_LENGTH = 64;
     private static final int MAX_DECIMAL_DIGITS = 18;
@@ -52,6 +59,12 @@
 
     /** Validates the head; {@code path} is the {@link #path} of its URI. */
     Result parse(HttpRequest request, String path) {
+        if (request.method().equals(HttpMethod.GET) && path.equals(READINESS_PATH)) {
+            return new ReadinessQuery();
+        }
+        if (request.method().equals(HttpMethod.OPTIONS) && Headers.wantsDeduplicationScope(request.headers())) {
+            return parseScopeQuery(path);
+        }
         if (!request.method().equals(HttpMethod.GET) && !request.method().equals(HttpMethod.POST)) {
             return new Rejected(HttpResponseStatus.METHOD_NOT_ALLOWED);
         }
@@ -80,6 +93,11 @@
         return new Accepted(requestIds.get(0), requestClass, timeout, contentLength);
     }
 
+    private Result parseScopeQuery(String path) {
+        RequestClass requestClass = requestClasses.apply(firstPathSegment(path));
+        return requestClass == null ? new Rejected(HttpResponseStatus.NOT_FOUND) : new ScopeQuery(requestClass);
+    }
+
     /** Returns the status that answers input that is not valid HTTP, according to the decoder's exception. */
     static HttpResponseStatus malformedStatus(Throwable cause) {
         if (cause instanceof TooLongHttpLineException) {
--- a/node/src/main/java/weldhitch/node/ClientResponseWriter.java
+++ b/node/src/main/java/weldhitch/node/ClientResponseWriter.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.function.BooleanSupplier;
+import weldhitch.decision.settings.RequestClass;
 
 /**
  * Encodes and writes the responses of one downstream connection, complete or streamed, and decides whether the
@@ -100,6 +101,14 @@
         write(response, inFlight);
     }
 
+    /** Writes a response without a body that states the deduplication scope of the request class. */
+    void writeDeduplicationScope(RequestClass requestClass) {
+        DefaultFullHttpResponse response =
+                new DefaultFullHttpResponse(httpVersion, HttpResponseStatus.OK, Unpooled.EMPTY_BUFFER);
+        response.headers().set(Headers.DEDUPLICATION_SCOPE, Headers.deduplicationScope(requestClass));
+        write(response, null);
+    }
+
     private void write(DefaultFullHttpResponse response, InFlightRequest inFlight) {
         response.headers()
                 .set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
@@ -116,7 +125,7 @@
     }
 
     private static void addDeduplicationScope(HttpResponse response, InFlightRequest inFlight) {
-        if (inFlight != null && Headers.wantsDeduplicationScope(inFlight.request)) {
+        if (inFlight != null && Headers.wantsDeduplicationScope(inFlight.request.headers())) {
             response.headers()
                     .set(Headers.DEDUPLICATION_SCOPE, Headers.deduplicationScope(inFlight.request.requestClass()));
         }
--- a/node/src/main/java/weldhitch/node/Headers.java
+++ b/node/src/main/java/weldhitch/node/Headers.java
@@ -59,8 +59,8 @@
     }
 
     /** Returns whether the client asks which endpoints discard a repeat of this request. */
-    static boolean wantsDeduplicationScope(ClientRequest request) {
-        return "1".equals(request.headers().get(WANT_DEDUPLICATION_SCOPE));
+    static boolean wantsDeduplicationScope(HttpHeaders headers) {
+        return "1".equals(headers.get(WANT_DEDUPLICATION_SCOPE));
     }
 
     /**
--- a/node/src/test/java/weldhitch/node/DeduplicationScopeOnSocketsTest.java
+++ b/node/src/test/java/weldhitch/node/DeduplicationScopeOnSocketsTest.java
@@ -7,11 +7,13 @@
 import static weldhitch.node.NodeHarness.post;
 
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import weldhitch.testkit.RawHttpMessage;
 import weldhitch.testkit.ScriptedServer;
+import weldhitch.testkit.TestConnection;
 
 /** Tests what a node states about the servers that discard a repeat of a request, and to whom. */
 class DeduplicationScopeOnSocketsTest {
@@ -29,7 +31,7 @@
         return NodeHarness.start(config.getBytes(StandardCharsets.UTF_8));
     }
 
-    private static String asking(String request) {
+    private static String withScopeRequest(String request) {
         return request.replace("Host:", WANT_SCOPE + ": 1\r\nHost:");
     }
 
@@ -44,10 +46,11 @@
     void statesTheScopeOfTheClassOfTheRequest(String effect, String group, String stated) throws Exception {
         try (ScriptedServer server = ScriptedServer.respondingWith(m -> ok("x"));
                 NodeHarness harness = start(server, effect, group)) {
-            RawHttpMessage served = harness.send(asking(post("1", "b")));
+            RawHttpMessage served = harness.send(withScopeRequest(post("1", "b")));
             assertEquals(200, served.status());
             assertEquals(stated, served.header(SCOPE));
-            RawHttpMessage rejected = harness.send(asking(post("2", "b").replace("8.000", "0")));
+            RawHttpMessage rejected =
+                    harness.send(withScopeRequest(post("2", "b").replace("8.000", "0")));
             assertEquals(503, rejected.status());
             assertEquals(stated, rejected.header(SCOPE), "scope in a rejection");
         }
@@ -62,18 +65,66 @@
             assertNull(harness.send(get("2")).header(SCOPE));
             assertNull(harness.send(post("3", "b").replace("Host:", WANT_SCOPE + ": 0\r\nHost:"))
                     .header(SCOPE));
-            assertEquals("zone", harness.send(asking(post("4", "b"))).header(SCOPE));
+            assertEquals("zone", harness.send(withScopeRequest(post("4", "b"))).header(SCOPE));
             for (int i = 0; i < 4; i++) {
                 assertNull(server.nextRequest().header(WANT_SCOPE));
             }
         }
     }
 
+    private static String query(String target) {
+        return "OPTIONS " + target + " HTTP/1.1\r\n" + WANT_SCOPE + ": 1\r\nHost: app.svc\r\n\r\n";
+    }
+
+    /** A client that has to know the scope before it repeats a request asks with a request of its own. */
+    @ParameterizedTest
+    @CsvSource({
+        "idempotency_key, all, all",
+        "idempotency_key, zone, zone",
+        "idempotency_key, cell, cell",
+        "non_idempotent, all, none",
+        "read_like, zone, all"
+    })
+    void answersAQueryForTheScopeOfAClassAndForwardsNothing(String effect, String group, String stated)
+            throws Exception {
+        AtomicInteger forwarded = new AtomicInteger();
+        try (ScriptedServer server = ScriptedServer.respondingWith(m -> {
+                    forwarded.incrementAndGet();
+                    return ok("x");
+                });
+                NodeHarness harness = start(server, effect, group);
+                TestConnection connection = harness.client()) {
+            for (String target : new String[] {"/book", "/book/7?x=1"}) {
+                connection.write(query(target));
+                RawHttpMessage answer = connection.readMessage();
+                assertEquals(200, answer.status());
+                assertEquals(stated, answer.header(SCOPE));
+                assertEquals("0", answer.header("content-length"));
+            }
+            connection.write(post("1", "b"));
+            assertEquals(200, connection.readMessage().status(), "request on the connection of the queries");
+            assertEquals(1, forwarded.get());
+        }
+    }
+
+    @Test
+    void rejectsAQueryForAnUnknownClassAndOptionsWithoutAQuestion() throws Exception {
+        try (ScriptedServer server = ScriptedServer.respondingWith(m -> ok("x"));
+                NodeHarness harness = start(server, "idempotency_key", "all")) {
+            RawHttpMessage unknown = harness.send(query("/no-such-class"));
+            assertEquals(404, unknown.status());
+            assertNull(unknown.header(SCOPE));
+            RawHttpMessage plainOptions = harness.send(query("/book").replace(WANT_SCOPE + ": 1", WANT_SCOPE + ": 0"));
+            assertEquals(405, plainOptions.status());
+            assertNull(plainOptions.header(SCOPE));
+        }
+    }
+
     @Test
     void statesTheScopeOfAStreamedResponse() throws Exception {
         try (ScriptedServer server = ScriptedServer.respondingWith(m -> ok("streamed"));
                 NodeHarness harness = start(server, "idempotency_key", "zone")) {
-            RawHttpMessage streamed = harness.send(asking(NodeHarness.feed("1")));
+            RawHttpMessage streamed = harness.send(withScopeRequest(NodeHarness.feed("1")));
             assertEquals("streamed", streamed.bodyText());
             assertEquals("all", streamed.header(SCOPE));
         }
