--- a/client/src/test/java/weldhitch/client/WeldhitchClientTest.java
+++ b/client/src/test/java/weldhitch/client/WeldhitchClientTest.java
@@ -52,9 +52,13 @@
             60 * ClientPolicy.SECOND);
 
     private static WeldhitchClient client(String... nodes) {
+        return client(POLICY, nodes);
+    }
+
+    private static WeldhitchClient client(ClientPolicy policy, String... nodes) {
         return WeldhitchClient.builder()
                 .nodes(nodes)
-                .policy(POLICY)
+                .policy(policy)
                 .defaultTimeout(Duration.ofSeconds(TestSupport.TIMEOUT_SECONDS))
                 .seed(1)
                 .build();
@@ -239,19 +243,9 @@
             }
         });
         try (node;
-                WeldhitchClient client = WeldhitchClient.builder()
-                        .nodes(node.address())
-                        .policy(policy)
-                        .defaultTimeout(Duration.ofSeconds(TestSupport.TIMEOUT_SECONDS))
-                        .seed(1)
-                        .build()) {
+                WeldhitchClient client = client(policy, node.address())) {
             client.send(Request.withIdempotencyKey("book-visit", "k-1", BODY));
-            Request lost = Request.withIdempotencyKey("book-visit", "k-2", BODY);
-            if (expectedAttempts > 1) {
-                assertEquals(expectedAttempts, client.send(lost).attempts());
-            } else {
-                assertThrows(CallException.OutcomeUnknown.class, () -> client.send(lost));
-            }
+            sendLostKeyedCall(client, expectedAttempts);
             assertEquals(1 + expectedAttempts, requestCount.get());
         }
     }
@@ -307,22 +301,22 @@
             }
         });
         try (node;
-                WeldhitchClient client = WeldhitchClient.builder()
-                        .nodes(node.address())
-                        .policy(POLICY)
-                        .defaultTimeout(Duration.ofSeconds(TestSupport.TIMEOUT_SECONDS))
-                        .seed(1)
-                        .build()) {
-            Request lost = Request.withIdempotencyKey("book-visit", "k-1", BODY);
-            if (expectedAttempts > 1) {
-                assertEquals(expectedAttempts, client.send(lost).attempts());
-            } else {
-                assertThrows(CallException.OutcomeUnknown.class, () -> client.send(lost));
-            }
+                WeldhitchClient client = client(node.address())) {
+            sendLostKeyedCall(client, expectedAttempts);
             assertEquals(expectedAttempts, callCount.get());
         }
     }
 
+    /** Makes a call whose first attempt is lost: it is served by a repeat, or ends after the first attempt. */
+    private static void sendLostKeyedCall(WeldhitchClient client, int expectedAttempts) throws Exception {
+        Request lost = Request.withIdempotencyKey("book-visit", "k-lost", BODY);
+        if (expectedAttempts > 1) {
+            assertEquals(expectedAttempts, client.send(lost).attempts());
+        } else {
+            assertThrows(CallException.OutcomeUnknown.class, () -> client.send(lost));
+        }
+    }
+
     /** Only a request with an idempotency key asks for the scope: every other request is as it was. */
     @Test
     void onlyKeyedRequestsAskForTheDeduplicationScope() throws Exception {
--- a/node/src/test/java/weldhitch/node/ClientConnectionTest.java
+++ b/node/src/test/java/weldhitch/node/ClientConnectionTest.java
@@ -192,8 +192,7 @@
     @Test
     void clientsBeyondTheLimitAreAllAnswered() throws Exception {
         // The server answers only once the limit has rejected a client. Otherwise the node might answer some requests
-        // before
-        // it reads the others, and never have more clients than the limit.
+        // before it reads the others, and never have more clients than the limit.
         CountDownLatch rejected = new CountDownLatch(1);
         ScriptedServer server = new ScriptedServer(connection -> {
             while (connection.readHead() != null) {
--- a/node/src/test/java/weldhitch/node/DeduplicationScopeOnSocketsTest.java
+++ b/node/src/test/java/weldhitch/node/DeduplicationScopeOnSocketsTest.java
@@ -8,9 +8,11 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
 import weldhitch.testkit.RawHttpMessage;
 import weldhitch.testkit.ScriptedServer;
 import weldhitch.testkit.TestConnection;
@@ -20,6 +22,16 @@
     private static final String SCOPE = "x-deduplication-scope";
     private static final String WANT_SCOPE = "X-Want-Deduplication-Scope";
 
+    /** The effect and group of a class in the settings, and the scope that the node states. */
+    static Stream<Arguments> scopesByEffectAndGroup() {
+        return Stream.of(
+                Arguments.of("idempotency_key", "all", "all"),
+                Arguments.of("idempotency_key", "zone", "zone"),
+                Arguments.of("idempotency_key", "cell", "cell"),
+                Arguments.of("non_idempotent", "all", "none"),
+                Arguments.of("read_like", "zone", "all"));
+    }
+
     /** Starts a node at which class {@code book} has this effect and group. */
     private static NodeHarness start(ScriptedServer server, String effect, String group) throws Exception {
         String hosts = NodeHarness.host("s", server.address());
@@ -36,13 +48,7 @@
     }
 
     @ParameterizedTest
-    @CsvSource({
-        "idempotency_key, all, all",
-        "idempotency_key, zone, zone",
-        "idempotency_key, cell, cell",
-        "non_idempotent, all, none",
-        "read_like, zone, all"
-    })
+    @MethodSource("scopesByEffectAndGroup")
     void statesTheScopeOfTheClassOfTheRequest(String effect, String group, String stated) throws Exception {
         try (ScriptedServer server = ScriptedServer.respondingWith(m -> ok("x"));
                 NodeHarness harness = start(server, effect, group)) {
@@ -78,13 +84,7 @@
 
     /** A client that has to know the scope before it repeats a request asks with a request of its own. */
     @ParameterizedTest
-    @CsvSource({
-        "idempotency_key, all, all",
-        "idempotency_key, zone, zone",
-        "idempotency_key, cell, cell",
-        "non_idempotent, all, none",
-        "read_like, zone, all"
-    })
+    @MethodSource("scopesByEffectAndGroup")
     void answersAQueryForTheScopeOfAClassAndForwardsNothing(String effect, String group, String stated)
             throws Exception {
         AtomicInteger forwarded = new AtomicInteger();
