Client library: send no keyed repeat on a connection established after the window

What callers saw: a booking with an idempotency key whose repeat waited for a connection, for up to the connect timeout, was sent when its deduplication window had ended, and could be executed twice.

Cause: the window is compared when the state machine starts an attempt; the request is written when the connection is established. Evidence: a listener that stalls the connect for a second and a window of half a second; the request arrives after a second.

Change: an attempt says for how long it may be sent (SendAttempt.sendableTime: to the deadline, and for a repeat of a keyed call that may have been executed to the end of its window). ConnectionPool compares it right before it writes; a request that is too late is not sent, which ends the attempt as NOT_SENT, and the connection stays for the next one.

Why it works: nothing but the write lies between the comparison and the socket.

Result: keyedCallIsNotRepeatedOnAConnectionThatIsEstablishedAfterTheWindow failed before (the request arrived), passes now.

--- a/client/src/main/java/weldhitch/client/ConnectionPool.java
+++ b/client/src/main/java/weldhitch/client/ConnectionPool.java
@@ -16,6 +16,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -67,20 +68,36 @@
      * Sends a request on the most recently used idle connection that is still usable, or on a new one.
      *
      * @param request creates the request immediately before it is written, because the request states the time that
-     *     remains until its deadline
+     *     remains until its deadline; returns empty if it is too late to send it
      */
-    AttemptHandle send(String node, Supplier<FullHttpRequest> request, NodeConnection.AttemptListener listener) {
+    AttemptHandle send(
+            String node, Supplier<Optional<FullHttpRequest>> request, NodeConnection.AttemptListener listener) {
         AttemptHandle handle = new AttemptHandle();
         NodeConnection connection = pollUsable(node);
         if (connection != null) {
-            handle.connection = connection;
-            connection.send(request.get(), listener);
+            write(connection, handle, request, listener);
         } else {
             connect(node, handle, request, listener);
         }
         return handle;
     }
 
+    /** Writes the request to the connection; leaves the connection idle if it is too late to send it. */
+    private void write(
+            NodeConnection connection,
+            AttemptHandle handle,
+            Supplier<Optional<FullHttpRequest>> request,
+            NodeConnection.AttemptListener listener) {
+        Optional<FullHttpRequest> httpRequest = request.get();
+        if (httpRequest.isPresent()) {
+            handle.connection = connection;
+            connection.send(httpRequest.get(), listener);
+        } else {
+            onIdle(connection);
+            listener.onAttemptEnded(AttemptResult.withoutResponse(AttemptOutcome.NOT_SENT));
+        }
+    }
+
     /** Removes and returns the most recently used idle connection that is still usable; null if there is none. */
     private NodeConnection pollUsable(String node) {
         ArrayDeque<NodeConnection> idleConnections = idleByNode.getOrDefault(node, new ArrayDeque<>());
@@ -94,7 +111,7 @@
     private void connect(
             String node,
             AttemptHandle handle,
-            Supplier<FullHttpRequest> request,
+            Supplier<Optional<FullHttpRequest>> request,
             NodeConnection.AttemptListener listener) {
         if (handle.abandoned || closed) {
             if (!handle.abandoned) {
@@ -138,8 +155,7 @@
                         if (handle.abandoned) {
                             onIdle(connection);
                         } else {
-                            handle.connection = connection;
-                            connection.send(request.get(), listener);
+                            write(connection, handle, request, listener);
                         }
                     }
                     Runnable nextConnect = queuedConnects.poll();
--- a/client/src/main/java/weldhitch/client/RequestEncoder.java
+++ b/client/src/main/java/weldhitch/client/RequestEncoder.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.security.SecureRandom;
 import java.util.Locale;
+import java.util.Optional;
 import weldhitch.client.policy.ClientAction;
 import weldhitch.client.policy.Idempotency;
 
@@ -23,9 +24,17 @@
      * Returns the HTTP request of an attempt. Called immediately before it is written, so that the remaining time that
      * it states does not include the time spent connecting.
      *
-     * @param remainingNanos nanoseconds until the deadline of the call
+     * @param elapsedNanos nanoseconds since the attempt began
+     * @return empty if the attempt must no longer be sent
      */
-    static FullHttpRequest attempt(Request request, ClientAction.SendAttempt attempt, long remainingNanos) {
+    static Optional<FullHttpRequest> attempt(Request request, ClientAction.SendAttempt attempt, long elapsedNanos) {
+        return elapsedNanos < attempt.sendableTime()
+                ? Optional.of(toHttpRequest(request, attempt, attempt.remainingTime() - elapsedNanos))
+                : Optional.empty();
+    }
+
+    private static FullHttpRequest toHttpRequest(
+            Request request, ClientAction.SendAttempt attempt, long remainingNanos) {
         byte[] body = request.body();
         HttpMethod method = request.idempotency() == Idempotency.IDEMPOTENT ? HttpMethod.GET : HttpMethod.POST;
         FullHttpRequest httpRequest = new DefaultFullHttpRequest(
--- a/client/src/main/java/weldhitch/client/ScopeQuery.java
+++ b/client/src/main/java/weldhitch/client/ScopeQuery.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import weldhitch.client.policy.AttemptOutcome;
 import weldhitch.client.policy.ClientAction;
@@ -32,7 +33,7 @@
 
     /** Sends the query. */
     void start() {
-        handle = connectionPool.send(query.node(), () -> RequestEncoder.scopeQuery(query), this::end);
+        handle = connectionPool.send(query.node(), () -> Optional.of(RequestEncoder.scopeQuery(query)), this::end);
         if (!ended) {
             timeout = eventLoop.schedule(this::abandon, query.timeout(), TimeUnit.NANOSECONDS);
         }
--- a/client/src/main/java/weldhitch/client/WeldhitchClient.java
+++ b/client/src/main/java/weldhitch/client/WeldhitchClient.java
@@ -171,10 +171,10 @@
     private void execute(ClientAction action) {
         if (action instanceof ClientAction.SendAttempt attempt) {
             PendingCall call = pendingCalls.get(attempt.callId());
-            long deadline = System.nanoTime() + attempt.remainingTime();
+            long startedAt = System.nanoTime();
             call.attemptHandle = connectionPool.send(
                     attempt.node(),
-                    () -> RequestEncoder.attempt(call.request, attempt, deadline - System.nanoTime()),
+                    () -> RequestEncoder.attempt(call.request, attempt, System.nanoTime() - startedAt),
                     result -> onAttemptEnded(call, attempt, result));
         } else if (action instanceof ClientAction.CancelAttempt) {
             pendingCalls
--- a/client/src/main/java/weldhitch/client/policy/CallStateMachine.java
+++ b/client/src/main/java/weldhitch/client/policy/CallStateMachine.java
@@ -242,7 +242,8 @@
         call.currentNode = node;
         call.sentAt = now;
         node.onSent();
-        actions.add(new SendAttempt(call.id, call.attempts++, node.address, call.deadline - now));
+        actions.add(new SendAttempt(
+                call.id, call.attempts++, node.address, call.deadline - now, retryRules.sendableTime(call, now)));
     }
 
     /** Asks the node for the deduplication scope; the call resumes when the query has ended. */
@@ -255,8 +256,8 @@
         call.resumeAt = 0;
         queriedNodeByClass.put(call.requestClass, node);
         node.onSent();
-        long usefulTime = Math.min(call.deadline - now, retryRules.remainingWindow(call, now));
-        actions.add(new QueryScope(node.address, call.requestClass, Math.min(DEFAULT_RESPONSE_TIMEOUT, usefulTime)));
+        long timeout = Math.min(DEFAULT_RESPONSE_TIMEOUT, retryRules.sendableTime(call, now));
+        actions.add(new QueryScope(node.address, call.requestClass, timeout));
     }
 
     private void onScopeQueryEnded(ScopeQueryEnded ended) {
--- a/client/src/main/java/weldhitch/client/policy/ClientAction.java
+++ b/client/src/main/java/weldhitch/client/policy/ClientAction.java
@@ -7,8 +7,11 @@
      *
      * @param attempt the number of the attempt within its call, counted from 0
      * @param remainingTime nanoseconds until the deadline of the call
+     * @param sendableTime nanoseconds within which the request has to be written; an attempt that gets its connection
+     *     later ends as {@link AttemptOutcome#NOT_SENT}
      */
-    record SendAttempt(long callId, int attempt, String node, long remainingTime) implements ClientAction {}
+    record SendAttempt(long callId, int attempt, String node, long remainingTime, long sendableTime)
+            implements ClientAction {}
 
     /**
      * Asks a node which servers discard repeats of a request class; at most one query of a class is in flight. It ends
--- a/client/src/main/java/weldhitch/client/policy/RetryRules.java
+++ b/client/src/main/java/weldhitch/client/policy/RetryRules.java
@@ -48,6 +48,14 @@
                         && deduplicationScopes.mayBecomeKnown(call.requestClass);
     }
 
+    /** Returns the nanoseconds for which an attempt that may be sent at this time may still be sent. */
+    long sendableTime(OutgoingCall call, long time) {
+        long remainingTime = call.deadline - time;
+        return call.possiblyExecuted && call.idempotency == Idempotency.IDEMPOTENCY_KEY
+                ? Math.min(remainingTime, remainingWindow(call, time))
+                : remainingTime;
+    }
+
     /** Returns the nanoseconds for which servers still discard a repeat of a call that may have been executed. */
     long remainingWindow(OutgoingCall call, long time) {
         return policy.deduplicationWindow() - (time - call.possiblyExecutedSince);
--- a/client/src/test/java/weldhitch/client/WeldhitchClientTest.java
+++ b/client/src/test/java/weldhitch/client/WeldhitchClientTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -17,6 +18,7 @@
 import java.util.List;
 import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -307,6 +309,57 @@
         }
     }
 
+    /**
+     * Regression: a repeat whose connection took longer to establish than the deduplication window lasted was sent
+     * nevertheless, and executed.
+     */
+    @Test
+    void keyedCallIsNotRepeatedOnAConnectionThatIsEstablishedAfterTheWindow() throws Exception {
+        // Half of the time that a stalled connect takes at least.
+        long window = ClientPolicy.SECOND / 2;
+        ClientPolicy policy = new ClientPolicy(
+                3,
+                ClientPolicy.MS,
+                50 * ClientPolicy.MS,
+                1,
+                1000,
+                100,
+                3,
+                50 * ClientPolicy.MS,
+                ClientPolicy.SECOND,
+                3,
+                window);
+        CompletableFuture<WeldhitchClient> created = new CompletableFuture<>();
+        try (StalledListener stalled = new StalledListener();
+                ScriptedServer node = new ScriptedServer(connection -> {
+                    connection.readMessage();
+                    created.get().updateNodes(List.of(stalled.address()));
+                    connection.reset();
+                });
+                WeldhitchClient client = WeldhitchClient.builder()
+                        .nodes(node.address())
+                        .policy(policy.withGloballyDeduplicatedClasses("book-visit"))
+                        .connectTimeout(Duration.ofSeconds(TestSupport.TIMEOUT_SECONDS))
+                        .defaultTimeout(Duration.ofSeconds(TestSupport.TIMEOUT_SECONDS))
+                        .build()) {
+            created.complete(client);
+            CompletableFuture<Response> call = client.sendAsync(Request.withIdempotencyKey("book-visit", "k-1", BODY));
+            stalled.awaitConnectAttempt();
+            try (TestConnection connection = stalled.release()) {
+                assertInstanceOf(
+                        CallException.OutcomeUnknown.class,
+                        assertThrows(CompletionException.class, call::join).getCause());
+                CompletableFuture<Response> nextCall = client.sendAsync(Request.idempotent("view-slots"));
+                assertEquals(
+                        "GET /view-slots HTTP/1.1",
+                        connection.readMessage().firstLine(),
+                        "first request on the connection");
+                connection.write(ok("x"));
+                nextCall.join();
+            }
+        }
+    }
+
     /** Makes a call whose first attempt is lost: it is served by a repeat, or ends after the first attempt. */
     private static void sendLostKeyedCall(WeldhitchClient client, int expectedAttempts) throws Exception {
         Request lost = Request.withIdempotencyKey("book-visit", "k-lost", BODY);
--- a/client/src/test/java/weldhitch/client/policy/ClientHarness.java
+++ b/client/src/test/java/weldhitch/client/policy/ClientHarness.java
@@ -81,6 +81,13 @@
                                 || possibleExecutions.getOrDefault(attempt.callId(), 0) == 0
                                 || now - possiblyExecutedSince.get(attempt.callId()) < deduplicationWindow,
                         "possibly executed again after the deduplication window: " + attempt);
+                assertTrue(attempt.sendableTime() > 0 && attempt.sendableTime() <= attempt.remainingTime());
+                assertTrue(
+                        idempotencyByCall.get(attempt.callId()) != Idempotency.IDEMPOTENCY_KEY
+                                || possibleExecutions.getOrDefault(attempt.callId(), 0) == 0
+                                || now + attempt.sendableTime() - possiblyExecutedSince.get(attempt.callId())
+                                        <= deduplicationWindow,
+                        "sendable after the deduplication window: " + attempt);
                 lastSentAt.put(attempt.callId(), now);
                 outstanding.put(attempt.callId(), attempt);
                 attempts.add(attempt);
