Client library: limit the time to send for repeats of keyed calls alone

A first call whose connect takes longer than its deadline then ended as NotExecuted where it had ended as OutcomeUnknown: rejectionAfterTheDeadlineIsIgnored failed in 5 of 5 runs as the first test of a process, where the client's classes are loaded within the 200 ms of its call. In a run of the whole module it is not the first and passed.

Change: SendAttempt.sendableTime limits only repeats that depend on a deduplication window. The deadline is a matter of the timer, as before.

Result: that test alone in a new process 0 of 5 failed; CallStateMachineTest 20 and WeldhitchClientTest 32 tests pass.

--- a/client/src/main/java/weldhitch/client/policy/CallStateMachine.java
+++ b/client/src/main/java/weldhitch/client/policy/CallStateMachine.java
@@ -256,7 +256,8 @@
         call.resumeAt = 0;
         queriedNodeByClass.put(call.requestClass, node);
         node.onSent();
-        long timeout = Math.min(DEFAULT_RESPONSE_TIMEOUT, retryRules.sendableTime(call, now));
+        long usefulTime = Math.min(call.deadline - now, retryRules.remainingWindow(call, now));
+        long timeout = Math.min(DEFAULT_RESPONSE_TIMEOUT, usefulTime);
         actions.add(new QueryScope(node.address, call.requestClass, timeout));
     }
 
--- a/client/src/main/java/weldhitch/client/policy/ClientAction.java
+++ b/client/src/main/java/weldhitch/client/policy/ClientAction.java
@@ -7,8 +7,8 @@
      *
      * @param attempt the number of the attempt within its call, counted from 0
      * @param remainingTime nanoseconds until the deadline of the call
-     * @param sendableTime nanoseconds within which the request has to be written; an attempt that gets its connection
-     *     later ends as {@link AttemptOutcome#NOT_SENT}
+     * @param sendableTime nanoseconds within which the request has to be written, {@code Long.MAX_VALUE} for no limit;
+     *     an attempt that gets its connection later ends as {@link AttemptOutcome#NOT_SENT}
      */
     record SendAttempt(long callId, int attempt, String node, long remainingTime, long sendableTime)
             implements ClientAction {}
--- a/client/src/main/java/weldhitch/client/policy/RetryRules.java
+++ b/client/src/main/java/weldhitch/client/policy/RetryRules.java
@@ -48,12 +48,14 @@
                         && deduplicationScopes.mayBecomeKnown(call.requestClass);
     }
 
-    /** Returns the nanoseconds for which an attempt that may be sent at this time may still be sent. */
+    /**
+     * Returns the nanoseconds for which an attempt that may be sent at this time may still be sent;
+     * {@code Long.MAX_VALUE} if that does not end.
+     */
     long sendableTime(OutgoingCall call, long time) {
-        long remainingTime = call.deadline - time;
         return call.possiblyExecuted && call.idempotency == Idempotency.IDEMPOTENCY_KEY
-                ? Math.min(remainingTime, remainingWindow(call, time))
-                : remainingTime;
+                ? remainingWindow(call, time)
+                : Long.MAX_VALUE;
     }
 
     /** Returns the nanoseconds for which servers still discard a repeat of a call that may have been executed. */
