--- /dev/null
+++ b/node/src/test/java/weldhitch/node/HostileClientsIT.java
@@ -0,0 +1,189 @@
+package weldhitch.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static weldhitch.node.NodeHarness.get;
+import static weldhitch.node.NodeHarness.host;
+import static weldhitch.node.NodeHarness.post;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntFunction;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import weldhitch.testkit.ScriptedHttpServer;
+import weldhitch.testkit.ScriptedServer;
+import weldhitch.testkit.TestConnection;
+import weldhitch.testkit.TestSupport;
+
+/**
+ * Tests that a node stays within its memory limit, and goes on serving, while hundreds of clients send what costs it
+ * the most memory. The node is a separate process with the heap of the deploy file.
+ */
+class HostileClientsIT {
+    private static final int DESCRIPTORS = 1024;
+    private static final int HOSTILE_CLIENTS = 600;
+    private static final int WRITING_THREADS = 16;
+    /** How often all hostile clients disconnect and are replaced by new ones. */
+    private static final int ROUNDS = 2;
+
+    /** How long hostile clients stay connected, in milliseconds; within the 3 s after which they must be answered. */
+    private static final long ROUND_MILLIS = 1_500;
+
+    /** Bytes of header fields that fit into the longest head that a node accepts. */
+    private static final int HEADER_BYTES = 15_600;
+
+    private static final String SHORT_FIELDS = shortFields();
+
+    /** What hostile clients send. */
+    enum Hostility {
+        /** A head of very many short fields, without its end. */
+        UNFINISHED_HEADS(client -> "GET /read/x HTTP/1.1\r\n" + SHORT_FIELDS),
+        /** A head that consists of one long field, without its end. */
+        LONG_FIELDS(client -> "GET /read/x HTTP/1.1\r\nX-Long: " + "x".repeat(HEADER_BYTES)),
+        /** A complete head of very many short fields, and half of a body. */
+        HEADS_AND_HALF_BODIES(client -> post("half-" + client, "x".repeat(30_000))
+                .replace("Content-Length: 30000\r\n", "Content-Length: 60000\r\n" + SHORT_FIELDS)),
+        /** A chunked body with very many short trailer fields, without their end. */
+        UNFINISHED_TRAILERS(
+                client -> post("trailer-" + client, "").replace("Content-Length: 0", "Transfer-Encoding: chunked")
+                        + "1\r\nx\r\n0\r\n" + SHORT_FIELDS),
+        /** Half of a large body. */
+        HALF_BODIES(client -> post("large-" + client, "x".repeat(200_000))
+                .replace("Content-Length: 200000", "Content-Length: 4000000")),
+        /** Many requests at once, each with a head of very many short fields. */
+        PIPELINED_HEADS(client -> get("first-" + client)
+                + get("next-" + client)
+                        .replace("\r\n\r\n", "\r\n" + SHORT_FIELDS + "\r\n")
+                        .repeat(20)),
+        /** Many requests at once, whose responses are not read. */
+        UNREAD_RESPONSES(client -> get("unread-" + client).repeat(200));
+
+        private final IntFunction<String> input;
+
+        Hostility(IntFunction<String> input) {
+            this.input = input;
+        }
+    }
+
+    private static String shortFields() {
+        StringBuilder fields = new StringBuilder();
+        for (char name = 'a'; fields.length() < HEADER_BYTES; name = name == 'z' ? 'a' : (char) (name + 1)) {
+            fields.append(name).append(":\r\n");
+        }
+        return fields.toString();
+    }
+
+    private static void send(NodeProcess node, String input, List<TestConnection> open) {
+        try {
+            Socket socket = new Socket();
+            socket.setReceiveBufferSize(4096);
+            socket.connect(new java.net.InetSocketAddress(java.net.InetAddress.getLoopbackAddress(), node.port));
+            TestConnection connection = new TestConnection(socket);
+            open.add(connection);
+            connection.write(input);
+        } catch (IOException e) {
+            // The node may turn hostile clients away at any time.
+        }
+    }
+
+    private static void closeAll(List<TestConnection> connections) throws IOException {
+        for (TestConnection connection : connections) {
+            connection.close();
+        }
+        connections.clear();
+    }
+
+    private static void attack(NodeProcess node, Hostility hostility) throws Exception {
+        ExecutorService writers = Executors.newFixedThreadPool(WRITING_THREADS);
+        List<TestConnection> open = new CopyOnWriteArrayList<>();
+        try {
+            for (int round = 0; round < ROUNDS; round++) {
+                List<Future<?>> writes = new ArrayList<>();
+                for (int i = 0; i < HOSTILE_CLIENTS; i++) {
+                    String input = hostility.input.apply(round * HOSTILE_CLIENTS + i);
+                    writes.add(writers.submit(() -> send(node, input, open)));
+                }
+                long roundEnd = System.nanoTime() + ROUND_MILLIS * 1_000_000;
+                TestSupport.await(() -> writes.stream().allMatch(Future::isDone) || System.nanoTime() > roundEnd);
+                TestSupport.await(() -> System.nanoTime() > roundEnd);
+                closeAll(open);
+            }
+        } finally {
+            writers.shutdownNow();
+            closeAll(open);
+            writers.awaitTermination(TestSupport.TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            closeAll(open);
+        }
+    }
+
+    /** Returns the maximum resident memory of the process so far, in MB. */
+    private static long peakMemoryMegabytes(Process process) throws IOException {
+        Matcher peak = Pattern.compile("VmHWM:\\s+(\\d+) kB")
+                .matcher(Files.readString(Path.of("/proc/" + process.pid() + "/status")));
+        assertTrue(peak.find(), "the process has ended");
+        return Long.parseLong(peak.group(1)) / 1024;
+    }
+
+    private static int status(NodeProcess node, String request) {
+        try {
+            return node.send(request).status();
+        } catch (IOException | RuntimeException e) {
+            return 0;
+        }
+    }
+
+    /**
+     * Guards against this failure: hundreds of clients that sent heads of very many short fields, or stopped half way
+     * through a large request, made a node exceed its memory; its event loop died of an OutOfMemoryError.
+     */
+    @Tag("known-red")
+    @ParameterizedTest
+    @CsvSource({
+        "UNFINISHED_HEADS, 192",
+        "LONG_FIELDS, 192",
+        "HEADS_AND_HALF_BODIES, 192",
+        "UNFINISHED_TRAILERS, 192",
+        "HALF_BODIES, 192",
+        "PIPELINED_HEADS, 192",
+        "UNREAD_RESPONSES, 192",
+        "UNFINISHED_HEADS, 96",
+        "HEADS_AND_HALF_BODIES, 96",
+        "HALF_BODIES, 96",
+        "PIPELINED_HEADS, 96",
+        "UNREAD_RESPONSES, 96"
+    })
+    void hostileClientsDoNotExhaustTheMemory(Hostility hostility, long memoryMegabytes) throws Exception {
+        try (ScriptedHttpServer server =
+                        new ScriptedHttpServer("s").byDefault(ScriptedHttpServer.respond("x".repeat(60_000)));
+                ScriptedServer discovery = NodeHarness.discovery(host("s", server.address()));
+                NodeProcess node = start(discovery, host("s", server.address()), memoryMegabytes)) {
+            assertEquals(200, status(node, get("before")));
+            attack(node, hostility);
+            TestSupport.await(() -> status(node, get("after-" + System.nanoTime())) == 200);
+            long peak = peakMemoryMegabytes(node.process);
+            System.out.println(hostility + ": peak memory " + peak + " MB of " + memoryMegabytes + " MB");
+            assertTrue(peak <= memoryMegabytes, "peak memory is " + peak + " MB, expected " + memoryMegabytes);
+        }
+    }
+
+    private static NodeProcess start(ScriptedServer discovery, String hosts, long memoryMegabytes) throws Exception {
+        String config = new String(
+                        NodeHarness.config(discovery.address(), hosts, DESCRIPTORS, ""), StandardCharsets.UTF_8)
+                .replace("\"memory_mb\":192", "\"memory_mb\":" + memoryMegabytes);
+        return new NodeProcess(run -> "ulimit -n " + DESCRIPTORS + "; " + run, config.getBytes(StandardCharsets.UTF_8));
+    }
+}
--- a/node/src/test/java/weldhitch/node/SuspendedNodeIT.java
+++ b/node/src/test/java/weldhitch/node/SuspendedNodeIT.java
@@ -7,12 +7,18 @@
 import static weldhitch.node.NodeHarness.ok;
 import static weldhitch.node.NodeHarness.post;
 
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.UnaryOperator;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -128,6 +134,36 @@
         }
     }
 
+    /**
+     * Guards against this failure: a client closed its connection with megabytes of requests still unread, and the node
+     * forwarded the first ones, because it gave up looking for the end of the input before it had read all of it.
+     */
+    @Tag("known-red")
+    @ParameterizedTest
+    @ValueSource(ints = {1, 3, 6})
+    void requestsOfAClientThatClosedWithMuchUnreadAreNotForwarded(int megabytes) throws Exception {
+        try (ScriptedHttpServer server = new ScriptedHttpServer("s");
+                ScriptedServer discovery = NodeHarness.discovery(host("s", server.address()));
+                NodeProcess node = startNode(discovery, host("s", server.address()))) {
+            assertEquals(200, node.send(get("warm")).status());
+            node.suspend();
+            byte[] requests =
+                    get("left").repeat((megabytes << 20) / get("left").length()).getBytes(StandardCharsets.ISO_8859_1);
+            try (SocketChannel client = SocketChannel.open()) {
+                client.setOption(StandardSocketOptions.SO_SNDBUF, megabytes << 20);
+                client.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), node.port));
+                client.configureBlocking(false);
+                // The operating system accepts as much as its buffers hold.
+                client.write(ByteBuffer.wrap(requests));
+            }
+            waitMillis(SUSPENDED_AFTER_DISCONNECT_MILLIS);
+            node.resume();
+            assertEquals(200, node.send(get("after")).status());
+            waitMillis(SETTLE_MILLIS);
+            assertEquals(List.of(), receivedIds("left", server));
+        }
+    }
+
     /**
      * A server rejects the first attempt, and then the client disconnects, both while the node is suspended. An idle
      * connection to the other server is available.
--- a/testkit/src/main/java/weldhitch/testkit/FakeDiscovery.java
+++ b/testkit/src/main/java/weldhitch/testkit/FakeDiscovery.java
@@ -20,7 +20,7 @@
      *
      * @param changedIn the list version in which the entry changed last
      */
-    private record Endpoint(String address, String zone, String health, int changedIn) {}
+    private record Endpoint(String address, String zone, String health, long startedAtMillis, int changedIn) {}
 
     private final Map<String, Endpoint> endpoints = new LinkedHashMap<>();
     private final ScriptedServer server;
@@ -55,7 +55,12 @@
 
     /** Adds the endpoint to the list, or changes it, with health {@code ready}. */
     public FakeDiscovery add(String name, String address, String zone) {
-        return update(name, address, zone, "ready");
+        return update(name, address, zone, "ready", 0);
+    }
+
+    /** Adds an endpoint that started at this time, in milliseconds since the epoch, in zone {@code a}. */
+    public FakeDiscovery addStarted(String name, String address, long startedAtMillis) {
+        return update(name, address, "a", "ready", startedAtMillis);
     }
 
     /** Marks the listed endpoint as draining. */
@@ -70,11 +75,12 @@
 
     private synchronized FakeDiscovery changeHealth(String name, String health) {
         Endpoint endpoint = endpoints.get(name);
-        return update(name, endpoint.address, endpoint.zone, health);
+        return update(name, endpoint.address, endpoint.zone, health, endpoint.startedAtMillis);
     }
 
-    private synchronized FakeDiscovery update(String name, String address, String zone, String health) {
-        endpoints.put(name, new Endpoint(address, zone, health, ++version));
+    private synchronized FakeDiscovery update(
+            String name, String address, String zone, String health, long startedAtMillis) {
+        endpoints.put(name, new Endpoint(address, zone, health, startedAtMillis, ++version));
         notifyAll();
         return this;
     }
@@ -143,7 +149,9 @@
                         .append(endpoint.zone)
                         .append("\",\"class\":\"k\",\"block\":1,\"health\":\"")
                         .append(endpoint.health)
-                        .append("\",\"share\":1.0,\"born_ms\":0}");
+                        .append("\",\"share\":1.0,\"born_ms\":")
+                        .append(endpoint.startedAtMillis)
+                        .append('}');
             }
         });
         String body = "{\"seq\":" + version + ",\"whole\":" + completeList + ",\"hosts\":[" + entries + "]}";
