Answer a client that stops within a large body within 3 s

What callers saw: clients that stopped half way through a large request were answered late and held the memory of their first half; with hundreds of them others were rejected as client-limit or memory-limit.

Cause: the time for a body was 2 s plus what the received bytes take at 32 KiB/s, so that 400 kB sent at once earned another 12 s of silence. The protocol owes such clients an answer within 3 s.

--- a/node/src/main/java/weldhitch/node/ClientConnection.java
+++ b/node/src/main/java/weldhitch/node/ClientConnection.java
@@ -76,7 +76,7 @@
 
     @Override
     public void parsing(int bytes) {
-        deadlines.bytesReceived(bytes);
+        deadlines.bytesReceived(bytes, now());
         if (state == ClientConnectionState.IDLE && !deadlines.isReadingHead()) {
             deadlines.headStarted(now());
             owner.idleChanged(this, false);
--- a/node/src/main/java/weldhitch/node/ConnectionDeadlines.java
+++ b/node/src/main/java/weldhitch/node/ConnectionDeadlines.java
@@ -14,7 +14,7 @@
         HEAD,
         /** No request has been started. */
         IDLE,
-        /** The body of a request arrives too slowly. */
+        /** The body of a request arrives too slowly, or no longer. */
         BODY,
         /** The client has not closed its side of the connection after the last response. */
         LINGER
@@ -27,6 +27,9 @@
      */
     static final long HEAD_TIMEOUT_NANOS = 2 * NANOS_PER_SECOND;
 
+    /** Maximum time between two parts of a body; short for the same reason. */
+    static final long BODY_STALL_NANOS = 2 * NANOS_PER_SECOND;
+
     static final long BODY_GRACE_NANOS = 2 * NANOS_PER_SECOND;
     static final long MIN_BODY_BYTES_PER_SECOND = 32 * 1024;
     static final long IDLE_TIMEOUT_NANOS = 60 * NANOS_PER_SECOND;
@@ -48,6 +51,7 @@
     private long headStartedAt;
 
     private long bytesReceived;
+    private long lastBytesAt;
     /** Whether a request has ever started on this connection. */
     private boolean requestSeen;
 
@@ -61,6 +65,7 @@
     /** Records that the connection has entered another state. */
     void stateChanged(long now) {
         stateSince = now;
+        lastBytesAt = now;
         headStartedAt = 0;
     }
 
@@ -68,8 +73,9 @@
         return now - stateSince;
     }
 
-    void bytesReceived(int count) {
+    void bytesReceived(int count, long now) {
         bytesReceived += count;
+        lastBytesAt = now;
     }
 
     /** Records that the first byte of a request's head has arrived. */
@@ -112,15 +118,17 @@
         long elapsed = now - stateSince;
         return switch (state) {
             case IDLE -> idleExpiry(elapsed, now);
-            case RECEIVING, DISCARDING_BODY ->
-                elapsed > BODY_GRACE_NANOS + bytesReceived * NANOS_PER_SECOND / MIN_BODY_BYTES_PER_SECOND
-                        ? Expiry.BODY
-                        : Expiry.NONE;
+            case RECEIVING, DISCARDING_BODY -> bodyExpiry(elapsed, now);
             case CLOSING -> elapsed > LINGER_TIMEOUT_NANOS && pendingWrites == 0 ? Expiry.LINGER : Expiry.NONE;
             case RECEIVED, WAITING, STREAMING -> Expiry.NONE;
         };
     }
 
+    private Expiry bodyExpiry(long elapsed, long now) {
+        long allowed = BODY_GRACE_NANOS + bytesReceived * NANOS_PER_SECOND / MIN_BODY_BYTES_PER_SECOND;
+        return elapsed > allowed || now - lastBytesAt > BODY_STALL_NANOS ? Expiry.BODY : Expiry.NONE;
+    }
+
     private Expiry idleExpiry(long elapsed, long now) {
         if (headStartedAt > 0 && now - headStartedAt > HEAD_TIMEOUT_NANOS) {
             return Expiry.HEAD;
--- a/node/src/test/java/weldhitch/node/ClientConnectionTest.java
+++ b/node/src/test/java/weldhitch/node/ClientConnectionTest.java
@@ -62,6 +62,23 @@
         }
     }
 
+    /**
+     * Guards against this failure: clients that stopped half way through a large request were answered only after the
+     * time that their first half would have taken at the lowest rate, and held its memory until then.
+     */
+    @Test
+    void clientThatStopsWithinALargeBodyIsAnsweredWithinThreeSeconds() throws Exception {
+        try (NodeHarness harness = NodeHarness.start(ScriptedServer.respondingWith(m -> ok("x")))) {
+            TestConnection connection = harness.client();
+            connection.write(
+                    post("1", "x".repeat(400_000)).replace("Content-Length: 400000", "Content-Length: 800000"));
+            long stoppedAt = System.nanoTime();
+            assertEquals(408, connection.readMessage().status());
+            long elapsed = System.nanoTime() - stoppedAt;
+            assertTrue(elapsed < 3_000_000_000L, "answered after " + elapsed / 1_000_000 + " ms");
+        }
+    }
+
     @Test
     void chunkedBodyIsForwardedCompletely() throws Exception {
         try (NodeHarness harness = NodeHarness.start(ScriptedServer.respondingWith(m -> ok(m.bodyText())))) {
--- a/node/src/test/java/weldhitch/node/ConnectionDeadlinesTest.java
+++ b/node/src/test/java/weldhitch/node/ConnectionDeadlinesTest.java
@@ -43,15 +43,22 @@
 
     @Test
     void bodyTimeoutGrowsWithTheBytesReceivedSinceTheHead() {
-        deadlines.bytesReceived(1_000_000);
+        deadlines.bytesReceived(1_000_000, START);
         deadlines.requestStarted();
         assertExpiresAfter(ConnectionDeadlines.BODY_GRACE_NANOS, Expiry.BODY, RECEIVING, START);
-        deadlines.bytesReceived((int) ConnectionDeadlines.MIN_BODY_BYTES_PER_SECOND);
+        deadlines.bytesReceived((int) ConnectionDeadlines.MIN_BODY_BYTES_PER_SECOND, START + 1_000_000_000L);
         long extendedTimeout = ConnectionDeadlines.BODY_GRACE_NANOS + 1_000_000_000L;
         assertExpiresAfter(extendedTimeout, Expiry.BODY, RECEIVING, START);
         assertExpiresAfter(extendedTimeout, Expiry.BODY, DISCARDING_BODY, START);
     }
 
+    @Test
+    void bodyThatStopsExpiresHoweverMuchOfItWasReceived() {
+        deadlines.requestStarted();
+        deadlines.bytesReceived(10_000_000, START + 5);
+        assertExpiresAfter(ConnectionDeadlines.BODY_STALL_NANOS, Expiry.BODY, RECEIVING, START + 5);
+    }
+
     @Test
     void lingerTimeoutWaitsForPendingWrites() {
         deadlines.writeStarted(START);
