End the process at once when its event loop has ended by an error

What callers saw: after the event loop had died of an OutOfMemoryError, the process held its listener and its connections for 10 more seconds without answering, then ended with exit status 0.

Change: EventLoopThreadFactory reports the end of the thread unless the node shuts its loop down; the node then writes one line and ends with exit status 70, so that the platform restarts it.

--- a/node/src/main/java/weldhitch/node/Node.java
+++ b/node/src/main/java/weldhitch/node/Node.java
@@ -34,11 +34,13 @@
     private static final long INITIAL_LIST_TIMEOUT_NANOS = 1_000_000_000L;
 
     private static final long MAX_DRAIN_SECONDS = 10;
+    private static final int EXIT_EVENT_LOOP_ENDED = 70;
 
     private final Clock clock = new Clock();
     private final PollMonitor pollMonitor = new PollMonitor(clock);
-    private final MultiThreadIoEventLoopGroup group =
-            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory(SelectorProvider.provider(), () -> pollMonitor));
+    private final EventLoopThreadFactory threadFactory = new EventLoopThreadFactory(Node::endProcess);
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(
+            1, threadFactory, NioIoHandler.newFactory(SelectorProvider.provider(), () -> pollMonitor));
     private final long startedAt = clock.now();
     private final CountDownLatch drained = new CountDownLatch(1);
     /** Reads the route configuration; null if the node was started without one. */
@@ -112,7 +114,7 @@
                 node.joinFleet(config, loadedRules);
             }
         } catch (Exception e) {
-            node.group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+            node.shutDownEventLoop();
             throw e;
         }
         return node;
@@ -131,7 +133,7 @@
             boundAddress = (InetSocketAddress)
                     bindFuture.sync().getNow().sync().channel().localAddress();
         } catch (Exception e) {
-            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+            shutDownEventLoop();
             throw e;
         }
         Log.line("node " + name + " listens on " + boundAddress);
@@ -320,6 +322,17 @@
         if (captureControl != null) {
             captureControl.apply(null);
         }
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        shutDownEventLoop().syncUninterruptibly();
+    }
+
+    private Future<?> shutDownEventLoop() {
+        threadFactory.shutDown();
+        return group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    /** Ends the process at once, without a graceful shutdown: without its event loop it cannot answer any request. */
+    private static void endProcess() {
+        System.err.println("weldhitch: the event loop ended unexpectedly");
+        Runtime.getRuntime().halt(EXIT_EVENT_LOOP_ENDED);
     }
 }
