Do not count clients that were turned away as active

What callers saw: after hundreds of unsound requests others were rejected (503, client-limit) for 2 s, though memory and servers were free.

Cause: a connection that waits for its client to close its side after the last response counted as one with a request in flight.

Change: ClientConnectionManager keeps these connections apart and leaves them out of that count.

Result: ClientConnectionTest.clientsThatWereTurnedAwayDoNotCountAsActive got 503 before and 200 now.

--- a/node/src/main/java/weldhitch/node/ClientConnection.java
+++ b/node/src/main/java/weldhitch/node/ClientConnection.java
@@ -304,6 +304,7 @@
 
     private void closeGracefully() {
         transitionTo(ClientConnectionState.CLOSING);
+        owner.closing(this);
         sequencer.release();
         channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> channel.shutdownOutput());
     }
--- a/node/src/main/java/weldhitch/node/ClientConnectionManager.java
+++ b/node/src/main/java/weldhitch/node/ClientConnectionManager.java
@@ -63,6 +63,9 @@
     private final Map<String, RequestClass> classesByName = new HashMap<>();
     private final Set<ClientConnection> connections = new HashSet<>();
     private final LinkedHashSet<ClientConnection> idle = new LinkedHashSet<>();
+    /** Connections that only wait for their client to close its side. */
+    private final Set<ClientConnection> closing = new HashSet<>();
+
     private Channel listener;
     private final GracefulShutdown shutdown;
     /** Number of idle connections when clients are first asked to disconnect; negative until then. */
@@ -227,6 +230,7 @@
     public void closed(ClientConnection connection) {
         connections.remove(connection);
         idle.remove(connection);
+        closing.remove(connection);
         limitAccepts(limits.maxClientConnections - connections.size());
         if (connections.size() < limits.maxClientConnections && listener.isOpen()) {
             listener.config().setAutoRead(true);
@@ -235,12 +239,19 @@
 
     @Override
     public Rejection admitHead() {
-        if (connections.size() - idle.size() > limits.maxActiveClients) {
+        if (connections.size() - idle.size() - closing.size() > limits.maxActiveClients) {
             return Rejection.CLIENT_LIMIT;
         }
         return limits.acceptsRequests() ? null : Rejection.MEMORY_LIMIT;
     }
 
+    @Override
+    public void closing(ClientConnection connection) {
+        if (connections.contains(connection)) {
+            closing.add(connection);
+        }
+    }
+
     @Override
     public void idleChanged(ClientConnection connection, boolean isIdle) {
         if (isIdle) {
--- a/node/src/test/java/weldhitch/node/ClientConnectionTest.java
+++ b/node/src/test/java/weldhitch/node/ClientConnectionTest.java
@@ -79,6 +79,26 @@
         }
     }
 
+    /**
+     * Guards against this failure: clients that had been turned away and kept their connections open counted as clients
+     * with requests in flight, so that others were rejected for 2 s.
+     */
+    @Test
+    void clientsThatWereTurnedAwayDoNotCountAsActive() throws Exception {
+        ResourceLimits limits = new ResourceLimits(100, Long.MAX_VALUE >> 8);
+        try (NodeHarness harness = NodeHarness.start(100, ScriptedServer.respondingWith(m -> ok("x")))) {
+            List<TestConnection> turnedAway = new ArrayList<>();
+            for (int i = 0; i <= limits.maxActiveClients; i++) {
+                TestConnection connection = harness.client();
+                connection.write("no HTTP\r\n\r\n");
+                assertEquals(400, connection.readMessage().status());
+                turnedAway.add(connection);
+            }
+            assertEquals(limits.maxActiveClients + 1, harness.node.openConnections());
+            assertEquals(200, status(harness, get("other")));
+        }
+    }
+
     @Test
     void chunkedBodyIsForwardedCompletely() throws Exception {
         try (NodeHarness harness = NodeHarness.start(ScriptedServer.respondingWith(m -> ok(m.bodyText())))) {
