--- a/decision/src/main/java/weldhitch/decision/discovery/AddressOwnership.java
+++ b/decision/src/main/java/weldhitch/decision/discovery/AddressOwnership.java
@@ -41,10 +41,12 @@
         ownersByAddress.clear();
         ownersById.clear();
         supersededById.clear();
-        listings.stream()
-                .filter(listing -> listing.state != EndpointState.REMOVED)
-                .forEach(listing ->
-                        ownersByAddress.merge(listing.address, listing, (a, b) -> b.startedAt > a.startedAt ? b : a));
+        for (Listing<A> listing : listings) {
+            Listing<A> other = ownersByAddress.get(listing.address);
+            if (listing.state != EndpointState.REMOVED && (other == null || listing.startedAt > other.startedAt)) {
+                ownersByAddress.put(listing.address, listing);
+            }
+        }
         List<String> superseded = new ArrayList<>();
         for (Listing<A> listing : listings) {
             if (listing.state == EndpointState.REMOVED) {
--- a/node/src/main/java/weldhitch/node/ClientConnectionManager.java
+++ b/node/src/main/java/weldhitch/node/ClientConnectionManager.java
@@ -50,6 +50,8 @@
     private static final long SWEEP_INTERVAL_MS = 250;
     private static final long DRAIN_INTERVAL_MS = 20;
     private static final long NANOS_PER_MILLI = 1_000_000L;
+    private static final long MEMORY_LOG_INTERVAL_NANOS = 1_000 * NANOS_PER_MILLI;
+    private static final long BYTES_PER_KILOBYTE = 1024;
     /** Time for which a connection must have been idle before it may be closed to make room for others. */
     private static final long EVICTABLE_AFTER_NANOS = 30 * NANOS_PER_MILLI;
 
@@ -72,6 +74,7 @@
     private int idleAtCloseStart = -1;
 
     private long lastAcceptedAt;
+    private long memoryLoggedAt;
 
     ClientConnectionManager(
             EventLoop loop,
@@ -267,12 +270,22 @@
 
     private void sweep() {
         long now = clock.now();
+        logMemoryPressure(now);
         evictIdleConnections(now);
         for (ClientConnection connection : connections.toArray(new ClientConnection[0])) {
             connection.checkTimeouts(now);
         }
     }
 
+    private void logMemoryPressure(long now) {
+        if (limits.underPressure() && now - memoryLoggedAt >= MEMORY_LOG_INTERVAL_NANOS) {
+            memoryLoggedAt = now;
+            Log.line("memory pressure reserved_kb=" + limits.reservedBytes() / BYTES_PER_KILOBYTE + " limit_kb="
+                    + limits.maxBytes() / BYTES_PER_KILOBYTE + " clients=" + connections.size() + " idle="
+                    + idle.size() + " closing=" + closing.size() + " in_flight=" + dispatcher.unanswered());
+        }
+    }
+
     void drain(Runnable onDrained) {
         if (!shutdown.started()) {
             // The platform kills the process a fixed time after it sent the signal, however late the signal is handled.
--- a/node/src/main/java/weldhitch/node/EndpointAddresses.java
+++ b/node/src/main/java/weldhitch/node/EndpointAddresses.java
@@ -24,15 +24,23 @@
     }
 
     private EndpointList resolveFull(EndpointList list) {
-        Set<String> superseded = new HashSet<>(ownership.replace(
-                list.endpoints().stream().map(EndpointAddresses::listing).toList()));
-        superseded.forEach(EndpointAddresses::logSuperseded);
+        List<Listing<InetSocketAddress>> listings = new ArrayList<>();
+        for (ListedEndpoint endpoint : list.endpoints()) {
+            listings.add(listing(endpoint));
+        }
+        Set<String> superseded = new HashSet<>(ownership.replace(listings));
         if (superseded.isEmpty()) {
             return list;
         }
-        List<ListedEndpoint> owners = list.endpoints().stream()
-                .filter(endpoint -> !superseded.contains(endpoint.entry().endpointId()))
-                .toList();
+        List<ListedEndpoint> owners = new ArrayList<>();
+        for (ListedEndpoint endpoint : list.endpoints()) {
+            String endpointId = endpoint.entry().endpointId();
+            if (superseded.contains(endpointId)) {
+                logSuperseded(endpointId);
+            } else {
+                owners.add(endpoint);
+            }
+        }
         return new EndpointList(list.seq(), true, owners);
     }
 
--- a/node/src/main/java/weldhitch/node/InFlightRequest.java
+++ b/node/src/main/java/weldhitch/node/InFlightRequest.java
@@ -77,7 +77,12 @@
 
     /** Returns whether an endpoint may have executed the request, or may yet do so. */
     boolean mayHaveBeenExecuted() {
-        return attempts.stream().anyMatch(Attempt::mayHaveBeenExecuted);
+        for (Attempt attempt : attempts) {
+            if (attempt.mayHaveBeenExecuted()) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /**
