--- a/node/src/main/java/weldhitch/node/ClientConnectionManager.java
+++ b/node/src/main/java/weldhitch/node/ClientConnectionManager.java
@@ -152,7 +152,7 @@
 
     @Override
     public Rejection admit(InFlightRequest inFlight) {
-        if (dispatcher.isDuplicate(inFlight.request.id())) {
+        if (dispatcher.isDuplicate(inFlight.request)) {
             return Rejection.DUPLICATE_ID;
         }
         long now = clock.now();
--- a/node/src/main/java/weldhitch/node/Dispatcher.java
+++ b/node/src/main/java/weldhitch/node/Dispatcher.java
@@ -83,9 +83,9 @@
         return requests.unanswered();
     }
 
-    /** Returns whether a request of this id must not be sent, as one is in flight or was perhaps executed. */
-    boolean isDuplicate(String id) {
-        return requests.isDuplicate(id);
+    /** Returns whether the request must not be sent, as one of its id is in flight or was perhaps executed. */
+    boolean isDuplicate(ClientRequest request) {
+        return requests.isDuplicate(request);
     }
 
     /** Passes a completely received request to the balancer; its deadline is its remaining timeout from now. */
--- a/node/src/main/java/weldhitch/node/ExecutedRequestIds.java
+++ b/node/src/main/java/weldhitch/node/ExecutedRequestIds.java
@@ -1,37 +1,52 @@
 package weldhitch.node;
 
-import java.util.Iterator;
-import java.util.LinkedHashMap;
-import java.util.Map;
-
 /**
- * The ids of ended requests that may have been executed and must not be executed again. An id is remembered for
- * {@link #RETENTION_NANOS}, unless more than {@link #MAX_IDS} others come in that time. Performs no I/O and reads no
- * clock; not thread-safe, confined to the event loop.
+ * The ids of ended requests that may have been executed and must not be executed again. Keeps a 64-bit hash of each id
+ * in two generations, the older of which is dropped as a whole: an id is remembered for {@link #RETENTION_NANOS} at
+ * least, unless {@link #MAX_IDS_PER_GENERATION} others come in that time. Performs no I/O and reads no clock; not
+ * thread-safe, confined to the event loop.
  */
 final class ExecutedRequestIds {
     /** As long as a client may wait for a request. */
     static final long RETENTION_NANOS = ClientRequestParser.MAX_REQUEST_TIMEOUT_NANOS;
 
-    static final int MAX_IDS = 16 * 1024;
+    static final int MAX_IDS_PER_GENERATION = 16 * 1024;
+
+    private static final long HASH_OFFSET = 0xcbf29ce484222325L;
+    private static final long HASH_PRIME = 0x100000001b3L;
 
-    /** The time at which each id was added, oldest first. */
-    private final Map<String, Long> addedAt = new LinkedHashMap<>();
+    private LongHashSet current = new LongHashSet();
+    private LongHashSet previous = new LongHashSet();
+    /** The time at which the first id was added to the current generation. */
+    private long currentSince;
 
     /** Remembers an id from now on. */
     void add(String id, long now) {
-        addedAt.remove(id);
-        addedAt.put(id, now);
-        Iterator<Long> oldest = addedAt.values().iterator();
-        while (addedAt.size() > MAX_IDS || now - addedAt.values().iterator().next() > RETENTION_NANOS) {
-            oldest.next();
-            oldest.remove();
+        if (current.size() > 0 && now - currentSince >= RETENTION_NANOS || current.size() >= MAX_IDS_PER_GENERATION) {
+            LongHashSet dropped = previous;
+            previous = current;
+            current = dropped;
+            current.clear();
+        }
+        if (current.size() == 0) {
+            currentSince = now;
         }
+        current.add(hash(id));
     }
 
-    /** Returns whether the id is remembered. */
-    boolean contains(String id, long now) {
-        Long added = addedAt.get(id);
-        return added != null && now - added <= RETENTION_NANOS;
+    /** Returns whether the id is remembered; it may be for up to twice the retention time. */
+    boolean contains(String id) {
+        long hash = hash(id);
+        return current.contains(hash) || previous.contains(hash);
+    }
+
+    /** Returns the FNV-1a hash of the text, with a finalizer that spreads it over all bits. */
+    private static long hash(String text) {
+        long hash = HASH_OFFSET;
+        for (int i = 0; i < text.length(); i++) {
+            hash = (hash ^ text.charAt(i)) * HASH_PRIME;
+        }
+        hash = (hash ^ (hash >>> 32)) * 0xd6e8feb86659fd93L;
+        return hash ^ (hash >>> 32);
     }
 }
--- a/node/src/main/java/weldhitch/node/InFlightRequests.java
+++ b/node/src/main/java/weldhitch/node/InFlightRequests.java
@@ -32,9 +32,13 @@
         return byId.get(id);
     }
 
-    /** Returns whether a request of this id must not be sent, as one is in flight or was perhaps executed. */
-    boolean isDuplicate(String id) {
-        return byId.containsKey(id) || executed.contains(id, clock.now());
+    /** Returns whether the request must not be sent, as one of its id is in flight or was perhaps executed. */
+    boolean isDuplicate(ClientRequest request) {
+        return byId.containsKey(request.id()) || !isRepeatable(request) && executed.contains(request.id());
+    }
+
+    private static boolean isRepeatable(ClientRequest request) {
+        return request.requestClass().idempotency() == Idempotency.IDEMPOTENT;
     }
 
     Collection<InFlightRequest> all() {
@@ -60,8 +64,7 @@
     /** Removes a finished request without outstanding attempts and releases its body; returns false if it must stay. */
     boolean removeIfComplete(InFlightRequest inFlight) {
         if (inFlight.finished && inFlight.attemptsInFlight == 0 && byId.remove(inFlight.request.id(), inFlight)) {
-            if (inFlight.request.requestClass().idempotency() != Idempotency.IDEMPOTENT
-                    && inFlight.mayHaveBeenExecuted()) {
+            if (!isRepeatable(inFlight.request) && inFlight.mayHaveBeenExecuted()) {
                 executed.add(inFlight.request.id(), clock.now());
             }
             inFlight.request.release();
--- a/node/src/main/java/weldhitch/node/InputSequencer.java
+++ b/node/src/main/java/weldhitch/node/InputSequencer.java
@@ -131,6 +131,7 @@
             while (bytes.isReadable() && pipelined.isEmpty() && mayProceed()) {
                 int count = portion(bytes);
                 receiver.parsing(count);
+                // The decoder consumes a buffer that it is given, so it gets one of its own if more follows.
                 parser.fireChannelRead(bytes.readRetainedSlice(count));
             }
         } finally {
@@ -144,18 +145,26 @@
         if (receiver.readiness() == Readiness.IN_BODY) {
             return (int) Math.min(available, Math.max(1, receiver.expectedBodyBytes()));
         }
-        int end = bytes.readerIndex() + Math.min(available, MAX_PORTION_BYTES);
-        for (int i = bytes.readerIndex(); i < end - 1; i++) {
-            if (bytes.getByte(i) == '\n' && isEmptyLine(bytes, i + 1, end)) {
-                return (bytes.getByte(i + 1) == '\n' ? i + 2 : i + 3) - bytes.readerIndex();
+        int start = bytes.readerIndex();
+        int end = start + Math.min(available, MAX_PORTION_BYTES);
+        for (int lineEnd = bytes.indexOf(start, end, (byte) '\n');
+                lineEnd >= 0 && lineEnd < end - 1;
+                lineEnd = bytes.indexOf(lineEnd + 1, end, (byte) '\n')) {
+            int afterEmptyLine = afterEmptyLine(bytes, lineEnd + 1, end);
+            if (afterEmptyLine > 0) {
+                return afterEmptyLine - start;
             }
         }
-        return end - bytes.readerIndex();
+        return end - start;
     }
 
-    private static boolean isEmptyLine(ByteBuf bytes, int start, int end) {
-        return bytes.getByte(start) == '\n'
-                || bytes.getByte(start) == '\r' && start + 1 < end && bytes.getByte(start + 1) == '\n';
+    /** Returns the index after the line that starts here, if it is empty; otherwise 0. */
+    private static int afterEmptyLine(ByteBuf bytes, int start, int end) {
+        byte first = bytes.getByte(start);
+        if (first == '\n') {
+            return start + 1;
+        }
+        return first == '\r' && start + 1 < end && bytes.getByte(start + 1) == '\n' ? start + 2 : 0;
     }
 
     private boolean mayProceed() {
