Test the invariants beside seeded crowds of hostile clients

Need: the repairs are to hold under other mixtures than the ones that showed the faults.

Change: HostileClientsIT.invariantsHoldBesideASeededCrowdOfHostileClients draws the size of the crowd, two kinds of hostility, the memory limit and the server's failures from a seed, and checks final answers, executions and memory of ordinary clients.

--- a/node/src/test/java/weldhitch/node/HostileClientsIT.java
+++ b/node/src/test/java/weldhitch/node/HostileClientsIT.java
@@ -5,6 +5,7 @@
 import static weldhitch.node.NodeHarness.get;
 import static weldhitch.node.NodeHarness.host;
 import static weldhitch.node.NodeHarness.post;
+import static weldhitch.testkit.ScriptedHttpServer.respond;
 
 import java.io.IOException;
 import java.net.Socket;
@@ -12,17 +13,22 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.IntFunction;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import weldhitch.testkit.InvariantCheckingClient;
 import weldhitch.testkit.ScriptedHttpServer;
 import weldhitch.testkit.ScriptedServer;
 import weldhitch.testkit.TestConnection;
@@ -45,8 +51,19 @@
     /** Bytes of header fields that fit into the longest head that a node accepts. */
     private static final int HEADER_BYTES = 15_600;
 
+    private static final int ORDINARY_CLIENTS = 3;
+
     private static final String SHORT_FIELDS = shortFields();
 
+    /** What the server does instead of serving a request, drawn for a tenth of them. */
+    private static final ScriptedHttpServer.Step[] STEPS = {
+        ScriptedHttpServer.reject(),
+        ScriptedHttpServer.respondWithStatus(500),
+        ScriptedHttpServer.delayed(50, respond("slow")),
+        ScriptedHttpServer.resetBeforeLastByte(),
+        ScriptedHttpServer.resetAfterLastByte()
+    };
+
     /** What hostile clients send. */
     enum Hostility {
         /** A head of very many short fields, without its end. */
@@ -109,14 +126,15 @@
         connections.clear();
     }
 
-    private static void attack(NodeProcess node, Hostility hostility) throws Exception {
+    private static void attack(NodeProcess node, int clients, IntFunction<Hostility> hostilities) throws Exception {
         ExecutorService writers = Executors.newFixedThreadPool(WRITING_THREADS);
         List<TestConnection> open = new CopyOnWriteArrayList<>();
         try {
             for (int round = 0; round < ROUNDS; round++) {
                 List<Future<?>> writes = new ArrayList<>();
-                for (int i = 0; i < HOSTILE_CLIENTS; i++) {
-                    String input = hostility.input.apply(round * HOSTILE_CLIENTS + i);
+                for (int i = 0; i < clients; i++) {
+                    int client = round * clients + i;
+                    String input = hostilities.apply(client).input.apply(client);
                     writes.add(writers.submit(() -> send(node, input, open)));
                 }
                 long roundEnd = System.nanoTime() + ROUND_MILLIS * 1_000_000;
@@ -169,12 +187,11 @@
     }
 
     private static void assertMemoryLimitKept(Hostility hostility, long memoryMegabytes) throws Exception {
-        try (ScriptedHttpServer server =
-                        new ScriptedHttpServer("s").byDefault(ScriptedHttpServer.respond("x".repeat(60_000)));
+        try (ScriptedHttpServer server = new ScriptedHttpServer("s").byDefault(respond("x".repeat(60_000)));
                 ScriptedServer discovery = NodeHarness.discovery(host("s", server.address()));
                 NodeProcess node = start(discovery, host("s", server.address()), memoryMegabytes)) {
             assertEquals(200, status(node, get("before")));
-            attack(node, hostility);
+            attack(node, HOSTILE_CLIENTS, client -> hostility);
             TestSupport.await(() -> status(node, get("after-" + System.nanoTime())) == 200);
             long peak = peakMemoryMegabytes(node.process);
             System.out.println(hostility + ": peak memory " + peak + " MB of " + memoryMegabytes + " MB");
@@ -182,6 +199,72 @@
         }
     }
 
+    /**
+     * Requests of ordinary clients keep all invariants beside a crowd whose size and kinds of hostility are drawn from
+     * the seed, with servers that fail as drawn. The property {@code weldhitch.hostile.plays} sets how many further
+     * seeds are played after each.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 1001})
+    void invariantsHoldBesideASeededCrowdOfHostileClients(long firstSeed) throws Exception {
+        int plays = Integer.getInteger("weldhitch.hostile.plays", 1);
+        for (long seed = firstSeed; seed < firstSeed + plays; seed++) {
+            playSeed(seed);
+        }
+    }
+
+    private static void playSeed(long seed) throws Exception {
+        SplittableRandom random = new SplittableRandom(seed);
+        long memoryMegabytes = random.nextBoolean() ? 192 : 96;
+        int crowd = 50 + random.nextInt(450);
+        Hostility[] kinds = Hostility.values();
+        Hostility[] drawn = {kinds[random.nextInt(kinds.length)], kinds[random.nextInt(kinds.length)]};
+        try (ScriptedHttpServer server = new ScriptedHttpServer("s");
+                ScriptedServer discovery = NodeHarness.discovery(host("s", server.address()));
+                NodeProcess node = start(discovery, host("s", server.address()), memoryMegabytes);
+                InvariantCheckingClient ordinary = new InvariantCheckingClient(node.port)) {
+            for (int i = 0; i < 500; i++) {
+                server.enqueue(random.nextInt(10) > 0 ? respond("x") : STEPS[random.nextInt(STEPS.length)]);
+            }
+            AtomicBoolean ended = new AtomicBoolean();
+            List<String> unanswered = new CopyOnWriteArrayList<>();
+            List<Thread> threads = new ArrayList<>();
+            for (int i = 0; i < ORDINARY_CLIENTS; i++) {
+                String prefix = "ordinary-" + i + "-";
+                threads.add(TestSupport.startDaemon(() -> sendUntil(ended, prefix, ordinary, unanswered)));
+            }
+            attack(node, crowd, client -> drawn[client % drawn.length]);
+            ended.set(true);
+            for (Thread thread : threads) {
+                thread.join(2 * TestSupport.TIMEOUT_SECONDS * 1000L);
+            }
+            String description = "seed " + seed + ", " + crowd + " clients, " + Arrays.toString(drawn) + ", "
+                    + memoryMegabytes + " MB";
+            assertEquals(List.of(), ordinary.violations(List.of(server)), description);
+            assertEquals(List.of(), unanswered, description);
+            TestSupport.await(() -> status(node, get("after-" + System.nanoTime())) == 200);
+            long peak = peakMemoryMegabytes(node.process);
+            long served = ordinary.completedRequests().stream()
+                    .filter(request -> request.status() == 200)
+                    .count();
+            System.out.println(description + ": peak " + peak + " MB, served " + served + " of "
+                    + ordinary.completedRequests().size());
+            assertTrue(peak <= memoryMegabytes, description + ": peak memory is " + peak + " MB");
+        }
+    }
+
+    private static void sendUntil(
+            AtomicBoolean ended, String prefix, InvariantCheckingClient client, List<String> unanswered) {
+        for (int i = 0; !ended.get(); i++) {
+            String id = prefix + i;
+            try {
+                client.send(id, i % 2 == 0, i % 2 == 0 ? post(id, "body") : get(id));
+            } catch (IOException e) {
+                unanswered.add(id + ": " + e);
+            }
+        }
+    }
+
     private static NodeProcess start(ScriptedServer discovery, String hosts, long memoryMegabytes) throws Exception {
         String config = new String(
                         NodeHarness.config(discovery.address(), hosts, DESCRIPTORS, ""), StandardCharsets.UTF_8)
