--- a/decision/src/main/java/weldhitch/decision/discovery/AddressOwnership.java
+++ b/decision/src/main/java/weldhitch/decision/discovery/AddressOwnership.java
@@ -1,7 +1,7 @@
 package weldhitch.decision.discovery;
 
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import weldhitch.decision.endpoint.EndpointState;
@@ -27,9 +27,9 @@
         }
     }
 
-    private final Map<A, Listing<A>> ownersByAddress = new HashMap<>();
-    private final Map<String, Listing<A>> ownersById = new HashMap<>();
-    private final Map<String, Listing<A>> supersededById = new HashMap<>();
+    private final Map<A, Listing<A>> ownersByAddress = new LinkedHashMap<>();
+    private final Map<String, Listing<A>> ownersById = new LinkedHashMap<>();
+    private final Map<String, Listing<A>> supersededById = new LinkedHashMap<>();
 
     /**
      * Applies a complete list, which replaces everything known before. Endpoints that started at the same time are
