Limit the header fields of server responses to 128

Need: the same mistake as in client heads: a response head of 8 KiB may have 2,000 fields of 4 bytes, some 400 KB once parsed, on up to 320 connections. No caller has reported it.

--- a/node/src/main/java/weldhitch/node/ServerConnectionPool.java
+++ b/node/src/main/java/weldhitch/node/ServerConnectionPool.java
@@ -88,7 +88,10 @@
                     protected void initChannel(Channel channel) {
                         channel.pipeline()
                                 .addLast(new HttpClientCodec(
-                                        new HttpDecoderConfig().setMaxChunkSize(Sockets.READ_BUFFER_BYTES),
+                                        new HttpDecoderConfig()
+                                                .setMaxChunkSize(Sockets.READ_BUFFER_BYTES)
+                                                .setHeadersFactory(LimitedHeaders.FACTORY)
+                                                .setTrailersFactory(LimitedHeaders.FACTORY),
                                         false,
                                         false));
                     }
--- a/node/src/test/java/weldhitch/node/OutcomeTest.java
+++ b/node/src/test/java/weldhitch/node/OutcomeTest.java
@@ -221,6 +221,13 @@
      * A response that is not streamed may have at most 64 KiB. A longer one is not forwarded, because its client
      * could wait for an end that never comes.
      */
+    /** Guards against this failure: heads of very many short fields made a node run out of memory. */
+    @Test
+    void responseWithTooManyHeaderFieldsMayHaveRunAndIsNotServed() throws Exception {
+        String fields = "a:\r\n".repeat(LimitedHeaders.MAX_FIELDS);
+        assertFailsWithoutRetry("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n" + fields + "\r\nx", false);
+    }
+
     @Test
     void oversizedResponseMayHaveRunAndIsNotForwarded() throws Exception {
         assertFailsWithoutRetry("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nbody", false);
