End the process at once on an error of the event loop's I/O

Cause: after an Error the loop does not go on, but its thread first shuts down gracefully, for seconds.

Change: FailFastIoHandler reports an Error of the loop's I/O when it is thrown; the thread factory still reports an end by anything else.

--- a/node/src/main/java/weldhitch/node/Node.java
+++ b/node/src/main/java/weldhitch/node/Node.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
+import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.Future;
@@ -39,8 +40,8 @@
     private final Clock clock = new Clock();
     private final PollMonitor pollMonitor = new PollMonitor(clock);
     private final EventLoopThreadFactory threadFactory = new EventLoopThreadFactory(Node::endProcess);
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(
-            1, threadFactory, NioIoHandler.newFactory(SelectorProvider.provider(), () -> pollMonitor));
+    private final MultiThreadIoEventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, threadFactory, ioHandlerFactory());
     private final long startedAt = clock.now();
     private final CountDownLatch drained = new CountDownLatch(1);
     /** Reads the route configuration; null if the node was started without one. */
@@ -330,6 +331,11 @@
         return group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 
+    private IoHandlerFactory ioHandlerFactory() {
+        IoHandlerFactory nio = NioIoHandler.newFactory(SelectorProvider.provider(), () -> pollMonitor);
+        return executor -> new FailFastIoHandler(nio.newHandler(executor), Node::endProcess);
+    }
+
     /** Ends the process at once, without a graceful shutdown: without its event loop it cannot answer any request. */
     private static void endProcess() {
         System.err.println("weldhitch: the event loop ended unexpectedly");
--- a/node/src/test/java/weldhitch/node/PackagedNodeIT.java
+++ b/node/src/test/java/weldhitch/node/PackagedNodeIT.java
@@ -9,6 +9,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.junit.jupiter.api.Test;
@@ -156,6 +157,20 @@
                 errorOutput);
     }
 
+    /**
+     * Guards against this failure: after an error had ended the event loop, the process went on for 10 s without
+     * answering anybody, and ended with status 0.
+     */
+    @Test
+    void endOfTheEventLoopEndsTheProcessAtOnce() throws Exception {
+        try (NodeProcess node = new NodeProcess(run -> run.replaceFirst(
+                "-jar (\\S+) serve",
+                "-cp $1:node/target/test-classes:testkit/target/classes " + EventLoopEndMain.class.getName()))) {
+            assertTrue(node.process.waitFor(5, TimeUnit.SECONDS), "the process goes on");
+            assertEquals(70, node.process.exitValue());
+        }
+    }
+
     @Test
     void unknownCommandPrintsUsage() throws Exception {
         Process process = new ProcessBuilder("java", "-jar", "node/target/weldhitch-node.jar", "dance").start();
