Count a request as executed if its server answered before it was written whole

Need: found on reading the change: only a written request counted as executed, so the id of a large booking that was served early was not remembered.

Change: Attempt.mayHaveBeenExecuted counts responses, too.

Result: RepeatedIdTest.idThatWasServedBeforeItsRequestWasWrittenIsNotForwardedAgain failed before and passes.

--- a/node/src/main/java/weldhitch/node/Attempt.java
+++ b/node/src/main/java/weldhitch/node/Attempt.java
@@ -57,9 +57,13 @@
         }
     }
 
-    /** Returns whether the endpoint may have executed the request: it has its last byte, and has not said otherwise. */
+    /**
+     * Returns whether the endpoint may have executed the request: it has its last byte or has responded before that,
+     * and has not stated otherwise.
+     */
     boolean mayHaveBeenExecuted() {
-        return requestWritten && !notExecuted;
+        boolean responded = streaming || outcome == AttemptOutcome.OK || outcome == AttemptOutcome.ERROR;
+        return (requestWritten || responded) && !notExecuted;
     }
 
     void stopTimer() {
--- a/node/src/test/java/weldhitch/node/RepeatedIdTest.java
+++ b/node/src/test/java/weldhitch/node/RepeatedIdTest.java
@@ -5,6 +5,7 @@
 import static weldhitch.node.NodeHarness.post;
 
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -58,6 +59,25 @@
         }
     }
 
+    /** A server may answer before it has read the whole request; that it was executed is known all the same. */
+    @Test
+    void idThatWasServedBeforeItsRequestWasWrittenIsNotForwardedAgain() throws Exception {
+        AtomicInteger heads = new AtomicInteger();
+        ScriptedServer server = new ScriptedServer(connection -> {
+            while (connection.readHead() != null) {
+                heads.incrementAndGet();
+                connection.write(NodeHarness.ok("early"));
+                connection.isClosedByPeer();
+            }
+        });
+        try (NodeHarness harness = NodeHarness.start(server)) {
+            String large = post("repeated", "x".repeat(20 << 20));
+            assertEquals(200, harness.send(large).status());
+            assertEquals(400, harness.send(post("repeated", "body")).status());
+            assertEquals(1, heads.get());
+        }
+    }
+
     /** A repeat is served if the request is idempotent, or was not executed. */
     @Test
     void idThatWasNotExecutedOrIsIdempotentIsForwardedAgain() throws Exception {
