--- a/node/src/main/java/weldhitch/node/ExecutedRequestIds.java
+++ b/node/src/main/java/weldhitch/node/ExecutedRequestIds.java
@@ -1,5 +1,7 @@
 package weldhitch.node;
 
+import io.netty.util.collection.LongObjectHashMap;
+
 /**
  * The ids of ended requests that may have been executed and must not be executed again. Keeps a 64-bit hash of each id
  * in two generations, the older of which is dropped as a whole: an id is remembered for {@link #RETENTION_NANOS} at
@@ -15,15 +17,17 @@
     private static final long HASH_OFFSET = 0xcbf29ce484222325L;
     private static final long HASH_PRIME = 0x100000001b3L;
 
-    private LongHashSet current = new LongHashSet();
-    private LongHashSet previous = new LongHashSet();
+    /** The hashes of the ids, as keys; the values mean nothing. */
+    private LongObjectHashMap<Boolean> current = new LongObjectHashMap<>();
+
+    private LongObjectHashMap<Boolean> previous = new LongObjectHashMap<>();
     /** The time at which the first id was added to the current generation. */
     private long currentSince;
 
     /** Remembers an id from now on. */
     void add(String id, long now) {
         if (current.size() > 0 && now - currentSince >= RETENTION_NANOS || current.size() >= MAX_IDS_PER_GENERATION) {
-            LongHashSet dropped = previous;
+            LongObjectHashMap<Boolean> dropped = previous;
             previous = current;
             current = dropped;
             current.clear();
@@ -31,13 +35,13 @@
         if (current.size() == 0) {
             currentSince = now;
         }
-        current.add(hash(id));
+        current.put(hash(id), Boolean.TRUE);
     }
 
     /** Returns whether the id is remembered; it may be for up to twice the retention time. */
     boolean contains(String id) {
         long hash = hash(id);
-        return current.contains(hash) || previous.contains(hash);
+        return current.containsKey(hash) || previous.containsKey(hash);
     }
 
     /** Returns the FNV-1a hash of the text, with a finalizer that spreads it over all bits. */
