Count the bytes of a body when they arrive, not when they are parsed

Need: found on reading the change: a body that arrived while earlier responses of its connection were unread was not counted, and could be answered with 408 though its client went on sending; it was counted before.

Change: InputSequencer tells the connection of bytes when they arrive; a stale comment is gone.

Result: ClientConnectionTest and ConnectionDeadlinesTest pass; no test of its own.

--- a/node/src/main/java/weldhitch/node/ClientConnection.java
+++ b/node/src/main/java/weldhitch/node/ClientConnection.java
@@ -75,8 +75,12 @@
     }
 
     @Override
-    public void parsing(int bytes) {
-        deadlines.bytesReceived(bytes, now());
+    public void bytesArrived(int count) {
+        deadlines.bytesReceived(count, now());
+    }
+
+    @Override
+    public void parsing() {
         if (state == ClientConnectionState.IDLE && !deadlines.isReadingHead()) {
             deadlines.headStarted(now());
             owner.idleChanged(this, false);
--- a/node/src/main/java/weldhitch/node/InputSequencer.java
+++ b/node/src/main/java/weldhitch/node/InputSequencer.java
@@ -25,8 +25,11 @@
         /** Returns how many bytes of a body are still expected; {@code Long.MAX_VALUE} if that is unknown. */
         long expectedBodyBytes();
 
+        /** Called when bytes have arrived. */
+        void bytesArrived(int count);
+
         /** Called before bytes are parsed. */
-        void parsing(int bytes);
+        void parsing();
 
         /** Handles a decoded message, and returns whether the connection keeps its headers. */
         boolean handleMessage(Object message, long arrivedAt);
@@ -110,6 +113,7 @@
 
     private void bytesRead(ByteBuf bytes) {
         input.bytesRead(bytes.readableBytes());
+        receiver.bytesArrived(bytes.readableBytes());
         if (isDiscarding() || receiver.readiness() == Readiness.CLOSED) {
             return;
         }
@@ -130,8 +134,7 @@
         try {
             while (bytes.isReadable() && pipelined.isEmpty() && mayProceed()) {
                 int count = portion(bytes);
-                receiver.parsing(count);
-                // The decoder consumes a buffer that it is given, so it gets one of its own if more follows.
+                receiver.parsing();
                 parser.fireChannelRead(bytes.readRetainedSlice(count));
             }
         } finally {
