--- a/node/src/main/java/weldhitch/node/ClientInput.java
+++ b/node/src/main/java/weldhitch/node/ClientInput.java
@@ -16,10 +16,17 @@
     private final PollHistory polls;
     private final long acceptedAt;
     private final long connectedNotBefore;
+    private final long maxBytesRead;
     private long bytesRead;
 
     /** Creates the input of a connection that has just been accepted. */
     ClientInput(SocketChannel channel, Clock clock, PollHistory polls) {
+        this(channel, clock, polls, MAX_BYTES_READ);
+    }
+
+    /** Creates an input that gives up the search for its end after {@code maxBytesRead}. */
+    ClientInput(SocketChannel channel, Clock clock, PollHistory polls, long maxBytesRead) {
+        this.maxBytesRead = maxBytesRead;
         this.channel = channel;
         this.clock = clock;
         this.polls = polls;
@@ -42,12 +49,12 @@
      * that follows requests becomes visible only behind them. Must not be called from within a read of this connection.
      */
     ClientPresence presence() {
-        long startedAt = bytesRead;
+        long bytesAtStart = bytesRead;
         long bytesBefore;
         do {
             bytesBefore = bytesRead;
             PendingInput.read(channel);
-        } while (channel.isActive() && bytesRead != bytesBefore && bytesRead - startedAt < MAX_BYTES_READ);
+        } while (channel.isActive() && bytesRead != bytesBefore && bytesRead - bytesAtStart < maxBytesRead);
         if (!channel.isActive()) {
             return ClientPresence.DISCONNECTED;
         }
